--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/turmericsail/turmericsail/internal/daemon"
+	"github.com/turmericsail/turmericsail/internal/gateway"
 	"github.com/turmericsail/turmericsail/internal/logging"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
@@ -46,13 +47,21 @@
 	// net/http quotes unexpected bytes of upstreams, which may be a body, on the standard logger.
 	stdlog.SetOutput(io.Discard)
 	tuneGC(cfg)
-	k, err := daemon.New(cfg, logging.New(os.Stderr, cfg.Log.Debug))
+	k, err := assemble(cfg)
 	if err != nil {
 		return err
 	}
 	return runUntilSignal(parent, k, cfg.Shutdown.Grace.Std())
 }
 
+// assemble returns the services of an instance, on the platform or with peers of its own.
+func assemble(cfg settings.Settings) (*kernel.Kernel, error) {
+	if cfg.Platform != nil {
+		return gateway.New(cfg, logging.New(os.Stdout, cfg.Log.Debug))
+	}
+	return daemon.New(cfg, logging.New(os.Stderr, cfg.Log.Debug))
+}
+
 // runUntilSignal shuts the kernel down on the first SIGTERM or interrupt and ends at once on the second.
 func runUntilSignal(parent context.Context, k *kernel.Kernel, grace time.Duration) error {
 	ctx, cancel := context.WithCancel(parent)
@@ -61,6 +70,7 @@
 	defer abort()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGHUP)
 	defer signal.Stop(signals)
 	go func() {
 		<-signals
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -67,8 +67,8 @@
 	x, resp := c.x, c.a.resp
 	h := x.w.Header()
 	x.callerHeader(h, resp)
-	if x.maybeRan.Load() && h.Get(HeaderOutcome) == string(NotRun) {
-		h.Set(HeaderOutcome, string(Unknown)) // an earlier attempt may have run the request
+	if x.maybeRan.Load() && h.Get(x.e.proto.Outcome) == string(NotRun) {
+		h.Set(x.e.proto.Outcome, string(Unknown)) // an earlier attempt may have run the request
 	}
 	if x.r.ProtoMajor == 1 && x.mustClose(resp) {
 		h.Set("Connection", "close")
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -20,7 +20,7 @@
 	failPlacement         // no permit
 	failUnreached         // no connection, or the connection took no byte
 	failShed              // the upstream said that it did not run the request
-	failBusy              // the upstream answered 503 without saying so
+	failBusy              // the upstream failed, and another one may do better
 	failLost              // a byte was sent and no answer came
 	failLate              // the deadline passed
 	failCancelled         // the caller went away or another copy won
@@ -87,7 +87,7 @@
 	exclude := x.tried[:len(x.tried):len(x.tried)]
 	x.mu.Unlock()
 	permit, err := x.e.ports.Placement.Acquire(a.ctx, AcquireRequest{
-		Pool: &x.pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge,
+		Pool: &x.pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start,
 	})
 	if err != nil {
 		a.stop(failPlacement, err)
@@ -164,13 +164,19 @@
 	if a.err == nil {
 		a.firstByte = time.Since(a.sentAt)
 	}
+	a.x.logAttempt(a)
 }
 
 // request builds the request for one connection.
 func (a *attempt) request() *http.Request {
 	x := a.x
 	a.left[0] = strconv.FormatInt(max(time.Until(a.ctx.deadline).Milliseconds(), 1), 10)
-	a.header[HeaderDeadline] = a.left[:]
+	if name := x.e.proto.Deadline; name != "" {
+		a.header[name] = a.left[:]
+	}
+	if name := x.e.proto.ExpectUpstream; name != "" {
+		a.header[name] = []string{a.upstream.ID}
+	}
 	u := *x.r.URL
 	u.Scheme, u.Host, u.User = "http", a.authority(), (*url.Userinfo)(nil)
 	req := &http.Request{
@@ -210,19 +216,25 @@
 	case a.resp.StatusCode == http.StatusSwitchingProtocols:
 		a.stop(failLost, errors.New("the upstream switched protocols unasked"))
 	default:
+		if why := a.x.e.proto.foreign(a.resp, a.x.id); why != "" {
+			a.stop(failLost, errors.New(why))
+			return
+		}
 		a.observe(Result{Status: a.resp.StatusCode, FirstByte: a.firstByte})
 		a.classifyStatus()
 	}
 }
 
 func (a *attempt) classifyStatus() {
-	if a.resp.StatusCode != http.StatusServiceUnavailable || a.permit == nil {
+	if a.permit == nil {
 		return
 	}
+	proto := &a.x.e.proto
 	switch {
-	case a.resp.Header.Get(HeaderOutcome) == string(NotRun):
+	case proto.NotRun(a.resp):
 		a.fail = failShed
-	case a.x.route.IsIdempotent(a.x.r.Method):
+	case !a.x.route.IsIdempotent(a.x.r.Method):
+	case a.resp.StatusCode == http.StatusServiceUnavailable, proto.RetryFailures && a.resp.StatusCode >= http.StatusInternalServerError:
 		a.fail = failBusy
 	}
 }
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -20,6 +20,10 @@
 	}
 	if a.sent {
 		a.x.maybeRan.Store(true)
+	} else if !a.sentAt.IsZero() {
+		a.x.mu.Lock()
+		a.x.report.notRun++
+		a.x.mu.Unlock()
 	}
 	a.end(a.ending(), false)
 }
@@ -122,7 +126,7 @@
 	}
 	o := &Observation{Pool: &a.x.pool, Route: &a.x.route, Upstream: a.upstream, Result: r, BytesUp: a.bytesUp(), BytesDown: a.down}
 	if a.resp != nil {
-		o.Load = a.resp.Header.Get(HeaderLoad)
+		o.Load = a.resp.Header.Get(a.x.e.proto.Load)
 	}
 	o.Refused = r.Ending == EndNotRun && a.conn == nil && a.err != nil && !errors.Is(a.err, errNoConnection)
 	for _, observer := range a.x.e.ports.Observers {
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -22,6 +22,10 @@
 	Hedger     Hedger
 	Relay      Relay
 	Observers  []Observer
+	// Protocol names the headers; the default is turmericsail's own.
+	Protocol *Protocol
+	// Direct sends requests from outside their home regions straight to upstreams inside, without Relay.
+	Direct bool
 }
 
 func (p *Ports) setDefaults() {
@@ -40,6 +44,10 @@
 	if p.Hedger == nil {
 		p.Hedger = &ratioHedger{}
 	}
+	if p.Protocol == nil {
+		own := DefaultProtocol()
+		p.Protocol = &own
+	}
 	if p.Relay == nil {
 		p.Relay = noRelay{}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,7 @@
 	cfg       settings.Settings
 	snapshots Snapshots
 	ports     Ports
+	proto     Protocol
 	log       logr.Logger
 	timing    timing
 	metrics   *telemetry
@@ -78,7 +79,7 @@
 // New returns an entry that is not yet listening.
 func New(cfg settings.Settings, snapshots Snapshots, ports Ports, log logr.Logger) *Entry {
 	ports.setDefaults()
-	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, log: log, timing: defaultTiming, metrics: newTelemetry()}
+	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, proto: *ports.Protocol, log: log, timing: defaultTiming, metrics: newTelemetry()}
 	e.conns = newConnPools(newDialer(maxAnswerHeader), cfg.Limits.MaxInstances)
 	e.relays = newRelayDialer(maxAnswerHeader)
 	e.streams = newStreamListener()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
@@ -96,6 +97,7 @@
 	outcome  string
 	upstream string
 	attempts int
+	notRun   int // attempts that are proved not to have run
 	up, down int64
 	abort    bool
 }
@@ -103,7 +105,7 @@
 // serve runs the whole path of one request.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, relayed bool) {
 	x := &exchange{e: e, w: w, r: r, control: *http.NewResponseController(w), relayed: relayed, start: time.Now()}
-	x.id = requestID(r.Header)
+	x.id = requestID(r.Header.Get(e.proto.RequestID))
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	if e.leaving.Load() {
@@ -138,7 +140,9 @@
 	}
 	defer func() { x.admitted() }()
 	x.header = x.upstreamHeader(x.relayed)
-	x.header[HeaderDepth] = x.value(strconv.Itoa(x.depth + 1))
+	if !x.e.proto.Plain {
+		x.header[HeaderDepth] = x.value(strconv.Itoa(x.depth + 1))
+	}
 	x.e.ports.Retries.Request(&x.pool, &x.route)
 	if x.identity != "" {
 		return x.runOnce()
@@ -169,10 +173,11 @@
 	if x.route.IdentityHeader != "" && !x.route.IsIdempotent(x.r.Method) {
 		x.identity = x.r.Header.Get(x.route.IdentityHeader)
 	}
-	if !x.route.Permits(x.e.cfg.Region) {
+	if !x.e.ports.Direct && !x.route.Permits(x.e.cfg.Region) {
 		x.outer = true
 		return nil
 	}
+	x.route.Pool = x.route.PickPool(rand.Float64())
 	if x.pool, ok = tables.Pools[x.route.Pool]; !ok {
 		return refuseNoPool()
 	}
@@ -188,10 +193,10 @@
 // admit checks deadline, depth and stated body length, opens the body and starts the guard timer.
 func (x *exchange) admit() *Refusal {
 	limit := x.route.Deadline.Std()
-	if v := x.r.Header.Get(HeaderDeadline); v != "" {
+	if v := x.r.Header.Get(x.e.proto.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || ms < 0 {
-			return refuseBadDeadline()
+			return refuseBadDeadline(x.e.proto.Deadline)
 		}
 		if ms < limit.Milliseconds() {
 			limit = time.Duration(ms) * time.Millisecond
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -79,16 +79,19 @@
 	r := x.r
 	h := make(http.Header, len(r.Header)+8)
 	copyEndToEnd(h, r.Header)
-	for _, name := range []string{HeaderOutcome, HeaderLoad, HeaderDeadline, HeaderDepth, HeaderRetryBudget, "Content-Length"} {
+	for _, name := range []string{x.e.proto.Outcome, x.e.proto.Load, x.e.proto.Deadline, HeaderDepth, HeaderRetryBudget, "Content-Length"} {
 		delete(h, name)
 	}
-	h[HeaderRequestID] = x.value(x.id)
+	h[x.e.proto.RequestID] = x.value(x.id)
 	if acceptsTrailers(r.Header) {
 		h["Te"] = []string{"trailers"}
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil // keeps net/http from adding its own
 	}
+	if x.e.proto.Plain {
+		return h
+	}
 	if !relayed {
 		x.forwarded(h)
 	}
@@ -144,9 +147,13 @@
 // callerHeader copies the header of an upstream's answer to the caller's.
 func (x *exchange) callerHeader(dst http.Header, resp *http.Response) {
 	copyEndToEnd(dst, resp.Header)
-	delete(dst, HeaderLoad)
-	dst["Via"] = x.appended(dst["Via"], via(resp.ProtoMajor, resp.ProtoMinor))
-	dst[HeaderRequestID] = x.value(x.id)
+	if !x.e.proto.KeepLoad {
+		delete(dst, x.e.proto.Load)
+	}
+	if !x.e.proto.Plain {
+		dst["Via"] = x.appended(dst["Via"], via(resp.ProtoMajor, resp.ProtoMinor))
+	}
+	dst[x.e.proto.RequestID] = x.value(x.id)
 	for name := range trailerNames(resp.Trailer) {
 		dst.Add("Trailer", name)
 	}
@@ -155,8 +162,7 @@
 const maxRequestID = 128
 
 // requestID returns the caller's request ID if it is printable and short, or a new one.
-func requestID(h http.Header) string {
-	id := h.Get(HeaderRequestID)
+func requestID(id string) string {
 	if id != "" && len(id) <= maxRequestID && isToken(id) {
 		return id
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -80,7 +80,7 @@
 	for name, values := range s.Header {
 		h[name] = values
 	}
-	h[HeaderRequestID] = []string{x.id}
+	h[x.e.proto.RequestID] = []string{x.id}
 	x.report.status, x.report.outcome, x.report.down = s.Status, "stored", int64(len(s.Body))
 	x.w.WriteHeader(s.Status)
 	_, _ = x.w.Write(s.Body)
@@ -99,7 +99,7 @@
 	}
 	if whole {
 		c.a.end(EndAnswered, true)
-		c.finish(t, storedAnswer(c.a.resp, body.Bytes()))
+		c.finish(t, storedAnswer(c.a.resp, body.Bytes(), c.x.e.proto.Load))
 		c.head()
 		if body.Len() == 0 || c.write(body.Bytes(), false) {
 			c.trailers()
@@ -153,13 +153,13 @@
 	}
 }
 
-func storedAnswer(resp *http.Response, body []byte) *StoredAnswer {
+func storedAnswer(resp *http.Response, body []byte, load string) *StoredAnswer {
 	if len(body) > MaxStoredAnswer {
 		return &StoredAnswer{Status: resp.StatusCode, Dropped: true}
 	}
 	h := make(http.Header, len(resp.Header))
 	copyEndToEnd(h, resp.Header)
-	delete(h, HeaderLoad)
+	delete(h, load)
 	return &StoredAnswer{Status: resp.StatusCode, Header: h, Body: body}
 }
 
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -37,9 +37,9 @@
 		return
 	}
 	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.r.ContentLength != 0 && !x.bodyDone())
-	x.w.Header()[HeaderRequestID] = []string{x.id}
+	x.w.Header()[x.e.proto.RequestID] = []string{x.id}
 	x.forbid1xx()
-	f.write(x.w)
+	f.write(x.w, &x.e.proto)
 }
 
 // callerGone reports whether the caller's connection has ended. The context also
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -19,6 +19,10 @@
 	Exclude []string
 	// Hedge is set for the second copy of a request; such a copy should not queue.
 	Hedge bool
+	// RequestID names the request in logs.
+	RequestID string
+	// Start is the time at which the entry took the request.
+	Start time.Time
 }
 
 // Placement picks upstreams.
@@ -173,6 +177,8 @@
 	Depth int
 	// CallerBudget is the number of retries that the caller of an inner call grants.
 	CallerBudget int
+	// Runs is the number of earlier attempts that may have run, hedges included.
+	Runs int
 }
 
 // RetryBudget bounds retries.
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -32,13 +32,14 @@
 }
 
 // write sends the refusal to the caller.
-func (f *Refusal) write(w http.ResponseWriter) {
+func (f *Refusal) write(w http.ResponseWriter, p *Protocol) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderOutcome, string(f.Outcome))
+	if p.Outcome != "" {
+		h.Set(p.Outcome, string(f.Outcome))
+	}
 	if f.RetryAfter > 0 {
-		seconds := int64((f.RetryAfter + time.Second - 1) / time.Second)
-		h.Set("Retry-After", strconv.FormatInt(seconds, 10))
+		h.Set("Retry-After", p.retryAfter(f.RetryAfter))
 	}
 	if f.Close {
 		h.Set("Connection", "close")
@@ -81,8 +82,8 @@
 	return &Refusal{Status: 400, Kind: "body-incomplete", Message: "the request body ended before its stated end", Remedy: "send the whole body", Close: true}
 }
 
-func refuseBadDeadline() *Refusal {
-	return &Refusal{Status: 400, Kind: "bad-deadline", Message: HeaderDeadline + " is not a number of milliseconds", Remedy: "send the remaining milliseconds as a whole number"}
+func refuseBadDeadline(header string) *Refusal {
+	return &Refusal{Status: 400, Kind: "bad-deadline", Message: header + " is not a number of milliseconds", Remedy: "send the remaining milliseconds as a whole number"}
 }
 
 func refuseLate() *Refusal {
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -60,6 +60,10 @@
 func (a *attempt) discardFailure() {
 	switch a.fail {
 	case failShed:
+		x := a.x
+		x.mu.Lock()
+		x.report.notRun++
+		x.mu.Unlock()
 		a.discardAnswer(EndNotRun)
 	case failBusy:
 		a.x.maybeRan.Store(true)
@@ -82,7 +86,7 @@
 		return false
 	}
 	wait, ok := x.e.ports.Retries.Retry(RetryRequest{
-		Pool: &x.pool, Route: &x.route, Attempt: n + 1, Depth: x.depth, CallerBudget: retry.CallerBudget(x.r.Header),
+		Pool: &x.pool, Route: &x.route, Attempt: n + 1, Depth: x.depth, CallerBudget: retry.CallerBudget(x.r.Header), Runs: x.runs(),
 	})
 	if !ok || time.Now().Add(wait).After(x.deadline) {
 		return false
@@ -91,6 +95,13 @@
 	return sleep(x.r.Context(), wait)
 }
 
+// runs returns the number of attempts that may have run.
+func (x *exchange) runs() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.report.attempts - x.report.notRun
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
@@ -196,6 +207,9 @@
 
 // hedgeDelay decides whether a second copy may be sent: only for idempotent requests without a body.
 func (x *exchange) hedgeDelay() (time.Duration, bool) {
+	if x.runs()+1 >= x.route.Retry.MaxAttempts { // the first copy takes the last attempt
+		return 0, false
+	}
 	if x.body != nil || x.identity != "" || !x.route.IsIdempotent(x.r.Method) {
 		return 0, false
 	}
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// logAttempt logs the end of the exchange of heads with one upstream.
+func (x *exchange) logAttempt(a *attempt) {
+	if !x.e.cfg.Log.Requests || x.outer {
+		return
+	}
+	status, reason := 0, ""
+	if a.resp != nil {
+		status = a.resp.StatusCode
+	}
+	if a.err != nil {
+		reason = a.err.Error()
+	}
+	x.e.log.Info("attempt", "request", x.id, "route", x.route.Name, "pool", x.pool.Name, "upstream", a.upstream.ID, "address", a.upstream.Address,
+		"reused", a.conn.reused, "sent", a.sent, "status", status, "took", time.Since(a.sentAt).String(), "error", reason)
+}
+
 func (x *exchange) log(took time.Duration) {
 	x.mu.Lock()
 	attempts := x.report.attempts
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,8 +47,21 @@
 	Limits Limits `json:"limits,omitzero"`
 	// Shutdown sets the times of a graceful shut-down.
 	Shutdown Shutdown `json:"shutdown,omitzero"`
-	// Log sets what is logged. Logs are JSON lines on standard error.
+	// Log sets what is logged. Logs are JSON lines on standard error, or on standard output on the platform.
 	Log Log `json:"log,omitzero"`
+	// Platform runs the instance on the users' platform: the tables come from the platform's store, and
+	// peers and store are not used. Default: none.
+	Platform *Platform `json:"platform,omitempty"`
+}
+
+// Platform tells where the users' platform is.
+type Platform struct {
+	// Store is the address of the platform's metadata store, as IP:port. Required.
+	Store string `json:"store"`
+	// Domains maps each failure domain to its region. Required.
+	Domains map[string]string `json:"domains"`
+	// Bounds lists the figures of the platform's rules, each as name=value. Default: none.
+	Bounds []string `json:"bounds,omitempty"`
 }
 
 // Listener is a TCP listener with its TLS settings.
@@ -201,12 +214,23 @@
 	}
 	addresses(&p, "$.admin", s.Admin.Listen, s.Admin.Advertise)
 	s.Callers.validate(&p, "$.callers", false)
-	s.Peers.validate(&p, "$.peers", true)
-	s.Store.validate(&p)
+	if s.Platform != nil {
+		s.Platform.validate(&p, s)
+	} else {
+		s.Peers.validate(&p, "$.peers", true)
+		s.Store.validate(&p)
+	}
 	s.validateLimits(&p)
 	return p
 }
 
+func (f *Platform) validate(p *table.Problems, s *Settings) {
+	address(p, "$.platform.store", f.Store)
+	if f.Domains[s.FailureDomain] != s.Region {
+		p.Add("$.platform.domains", "does not map this instance's failure domain to its region", "list every failure domain of the deployment with its region")
+	}
+}
+
 func (s *Store) validate(p *table.Problems) {
 	u, err := url.Parse(s.Address)
 	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
--- /dev/null
+++ b/pkg/placement/sampled/policy.go
@@ -0,0 +1,249 @@
+package sampled
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/table"
+)
+
+const (
+	// nearTimeout and farTimeout bound the wait for a reading, within a region and between regions: a few
+	// round trips and a new connection.
+	nearTimeout = 40 * time.Millisecond
+	farTimeout  = 120 * time.Millisecond
+	// pauseTime is the wait before candidates are asked again, a fraction of the spells of slowness.
+	pauseTime = 20 * time.Millisecond
+	// coldGap is the least time between two requests of this instance to the same cold upstream.
+	coldGap = 700 * time.Millisecond
+)
+
+// Asker asks an upstream for its load.
+type Asker interface {
+	Ask(ctx context.Context, pool *table.Pool, u table.Upstream) (Reading, error)
+}
+
+// Place is where this instance runs.
+type Place struct{ Region, FailureDomain string }
+
+func (p Place) distance(u table.Upstream) Distance {
+	switch {
+	case u.FailureDomain == p.FailureDomain:
+		return SameDomain
+	case u.Region == p.Region:
+		return SameRegion
+	}
+	return OtherRegion
+}
+
+// Request describes the attempt for which an upstream is wanted.
+type Request struct {
+	ID     string
+	Pool   *table.Pool
+	Route  *table.Route
+	Start  time.Time // of the whole request
+	Tried  []string
+	Urgent bool // do not wait for a better upstream
+}
+
+// Policy chooses upstreams.
+type Policy struct {
+	place    Place
+	asker    Asker
+	log      logr.Logger
+	suspects *suspicions
+
+	mu      sync.Mutex
+	pending map[string]int       // requests of this instance by upstream
+	coldAt  map[string]time.Time // the last request to a cold upstream
+}
+
+// New returns a policy.
+func New(place Place, asker Asker, log logr.Logger) *Policy {
+	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), pending: map[string]int{}, coldAt: map[string]time.Time{}}
+}
+
+// Choice is an upstream that was chosen. Done is called exactly once.
+type Choice struct {
+	policy   *Policy
+	Upstream table.Upstream
+	Reading  Reading
+	once     sync.Once
+}
+
+// Choose returns an upstream for one attempt. It waits until ctx ends at most.
+func (p *Policy) Choose(ctx context.Context, r Request) (*Choice, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = r.Start.Add(r.Route.Deadline.Std())
+	}
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start}
+	rounds := 0
+	for {
+		list := p.candidates(r)
+		if len(list) == 0 {
+			return nil, fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service")
+		}
+		rank(list)
+		v, b := p.pass(ctx, ch, r, list, &rounds)
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
+		switch {
+		case v == take:
+			if c := p.claim(b); c != nil {
+				p.log.Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
+					"waited", time.Since(r.Start).String(), "running", b.reading.Running, "waiting", b.reading.Waiting,
+					"slots", b.reading.Slots, "slowdown", b.reading.Slowdown, "suspicion", b.suspicion, "cost", b.cost.String())
+				return c, nil
+			}
+		case v == refuse || r.Urgent:
+			p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "waited", time.Since(r.Start).String())
+			return nil, fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay")
+		}
+		if !wait(ctx, pauseTime) {
+			return nil, context.Cause(ctx)
+		}
+	}
+}
+
+// pass asks the candidates in groups until one fits.
+func (p *Policy) pass(ctx context.Context, ch *chooser, r Request, list []*candidate, rounds *int) (verdict, *candidate) {
+	for from := 0; ; {
+		to := min(from+sampleSize, len(list))
+		*rounds++
+		if c := p.ask(ctx, ch, r, list[from:to]); c != nil {
+			return take, c
+		}
+		from = to
+		b := best(list)
+		if v := ch.decide(time.Now(), b, from < len(list)); v != more {
+			return v, b
+		}
+	}
+}
+
+// ask asks a group at once and returns the first good one, or nil when all have
+// answered or timed out.
+func (p *Policy) ask(ctx context.Context, ch *chooser, r Request, group []*candidate) *candidate {
+	timeout := nearTimeout
+	for _, c := range group {
+		if c.distance == OtherRegion {
+			timeout = farTimeout
+		}
+	}
+	// The calls outlive an early choice, so that their connections can be used again.
+	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
+	type answer struct {
+		c   *candidate
+		r   Reading
+		err error
+	}
+	answers := make(chan answer, len(group))
+	var running sync.WaitGroup
+	for _, c := range group {
+		running.Go(func() {
+			reading, err := p.asker.Ask(askCtx, r.Pool, c.upstream)
+			reading.At = time.Now()
+			answers <- answer{c, reading, err}
+		})
+	}
+	go func() { running.Wait(); cancel() }()
+	for range group {
+		select {
+		case a := <-answers:
+			p.judge(ch, a.c, a.r, a.err)
+			if a.c.asked && ch.good(a.c) {
+				return a.c
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+// judge takes over a reading.
+func (p *Policy) judge(ch *chooser, c *candidate, r Reading, err error) {
+	c.asked = true
+	if err != nil || r.Upstream != "" && r.Upstream != c.upstream.ID {
+		c.barred = true
+		p.suspects.failed(c.upstream.ID, 1, time.Now())
+		return
+	}
+	pending := 0
+	if !r.Loaded { // only this instance's own requests are known
+		r.Running, r.Slots, r.Slowdown = c.pending, max(r.Slots, 1), 1
+	}
+	c.reading = r
+	c.cost = estimate(r, c.distance, pending, c.suspicion, ch.target)
+	if r.Cold > 0 {
+		p.mu.Lock()
+		c.barred = r.Running+r.Waiting > 0 || time.Since(p.coldAt[c.upstream.ID]) < coldGap
+		p.mu.Unlock()
+	}
+}
+
+func (p *Policy) candidates(r Request) []*candidate {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []*candidate
+	for _, u := range r.Pool.Upstreams {
+		if !r.Pool.InService(u) || !r.Route.Permits(u.Region) || slices.Contains(r.Tried, u.ID) {
+			continue
+		}
+		list = append(list, &candidate{upstream: u, distance: p.place.distance(u), suspicion: p.suspects.of(u.ID, now), pending: p.pending[u.ID]})
+	}
+	return list
+}
+
+// claim counts the request at its upstream. It returns nil when another request
+// of this instance went to the same cold upstream meanwhile.
+func (p *Policy) claim(c *candidate) *Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	id := c.upstream.ID
+	if c.reading.Cold > 0 {
+		if time.Since(p.coldAt[id]) < coldGap {
+			return nil
+		}
+		p.coldAt[id] = time.Now()
+	}
+	p.pending[id]++
+	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading}
+}
+
+// Done gives the choice back. failed is set when the upstream failed the request.
+func (c *Choice) Done(failed, answered bool) {
+	c.once.Do(func() {
+		p := c.policy
+		p.mu.Lock()
+		if p.pending[c.Upstream.ID]--; p.pending[c.Upstream.ID] <= 0 {
+			delete(p.pending, c.Upstream.ID)
+		}
+		p.mu.Unlock()
+		switch {
+		case failed:
+			p.suspects.failed(c.Upstream.ID, 1, time.Now())
+		case answered:
+			p.suspects.answered(c.Upstream.ID, time.Now())
+		}
+	})
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -71,6 +71,11 @@
 	FailureDomain string
 	// Leaving is set once the instance has announced that it ends.
 	Leaving bool
+	// Slots is the number of requests that the instance runs at the same time, or 0 where the list does not tell.
+	Slots int
+	// Born is the Unix millisecond of the instance's start, or 0 where the list does not tell. The same
+	// ID with another Born is a new process.
+	Born int64
 	// Admin is the host:port of the operators' listener of a turmericsail instance, else empty.
 	Admin string
 }
@@ -156,3 +161,21 @@
 
 // readBackInterval is the pause between attempts to read a row back while the store is down.
 const readBackInterval = 200 * time.Millisecond
+
+// Change is one event of a ChangeLog.
+type Change struct {
+	Entry
+	// Deleted is set when the key was removed; Value is then empty.
+	Deleted bool
+}
+
+// ChangeLog is a store that tells its changes one by one.
+type ChangeLog interface {
+	// List returns the entries under prefix and a revision from which Changes tells everything that the
+	// entries may lack. An entry may be newer than that revision.
+	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// Changes waits until something under prefix changed after the given revision, at most for wait, and
+	// returns the changes and the revision from which to go on. A NotFound fault means that the store no
+	// longer has the history after that revision, so that the entries must be listed again.
+	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+}
--- a/pkg/table/match.go
+++ b/pkg/table/match.go
@@ -33,6 +33,44 @@
 	return false
 }
 
+// PoolNames returns every pool that the route names.
+func (r *Route) PoolNames() []string {
+	if len(r.Split) == 0 {
+		return []string{r.Pool}
+	}
+	names := make([]string, len(r.Split))
+	for i, s := range r.Split {
+		names[i] = s.Pool
+	}
+	return names
+}
+
+// PickPool returns the pool for one request. point is uniform in [0, 1); each
+// request draws its own, so that the parts of a split get their weights whatever
+// the mix of requests.
+func (r *Route) PickPool(point float64) string {
+	if len(r.Split) == 0 {
+		return r.Pool
+	}
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := point * total
+	last := ""
+	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
+		if left < s.Weight {
+			return s.Pool
+		}
+		left -= s.Weight
+		last = s.Pool
+	}
+	return last
+}
+
 // Permits reports whether requests of this route may be served in the region.
 func (r *Route) Permits(region string) bool {
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
@@ -73,9 +111,8 @@
 }
 
 func pathHasPrefix(path, prefix string) bool {
-	prefix = strings.TrimSuffix(prefix, "/")
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/')
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(prefix, "/"))
+	return ok && (rest == "" && (prefix == "" || prefix[len(prefix)-1] != '/') || rest != "" && rest[0] == '/')
 }
 
 // moreSpecific orders routes for matching: longer path prefix first, then exact
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -35,7 +35,7 @@
 type Match struct {
 	// Hosts lists host names, compared without case and port; "*.example.org" matches one label.
 	Hosts []string `json:"hosts,omitempty"`
-	// PathPrefix matches whole path segments; "/" matches every path.
+	// PathPrefix matches whole path segments; "/" matches every path. A prefix that ends in a slash does not match the path without it.
 	PathPrefix string `json:"path_prefix,omitempty"`
 	// Methods lists HTTP methods.
 	Methods []string `json:"methods,omitempty"`
@@ -59,14 +59,24 @@
 	BudgetPercent float64 `json:"budget_percent,omitempty"`
 }
 
+// Share is one part of a split route.
+type Share struct {
+	// Pool names the pool that serves this part.
+	Pool string `json:"pool"`
+	// Weight is the part's share relative to the sum of all weights; zero sends it nothing.
+	Weight float64 `json:"weight"`
+}
+
 // Route maps requests to a pool.
 type Route struct {
 	// Name is the row's key.
 	Name string `json:"name"`
 	// Match selects the requests. Without it the route takes every request that no other route takes.
 	Match Match `json:"match,omitzero"`
-	// Pool names the pool that serves the requests.
-	Pool string `json:"pool"`
+	// Pool names the pool that serves the requests. Required unless split is set.
+	Pool string `json:"pool,omitempty"`
+	// Split distributes the requests over several pools by weight, in place of pool.
+	Split []Share `json:"split,omitempty"`
 	// Tenant labels the requests in metrics and queues.
 	Tenant string `json:"tenant,omitempty"`
 	// TenantHeader names a request header whose value overrides Tenant.
@@ -79,6 +89,9 @@
 	IdentityHeader string `json:"identity_header,omitempty"`
 	// Deadline bounds the time to the start of the answer. Default 30s.
 	Deadline Duration `json:"deadline,omitempty"`
+	// Target is the time within which an answer is fully useful to its caller. Placement waits for a
+	// better upstream only as long as the target allows. Default: the deadline.
+	Target Duration `json:"target,omitempty"`
 	// HomeRegions lists the only regions in which a request may be served, sent and kept. Empty means all.
 	HomeRegions []string `json:"home_regions,omitempty"`
 	// RecordRegion fixes the region that keeps at-most-once records. Default by hash over the permitted regions.
@@ -213,6 +226,7 @@
 	orDefault(&r.Class, ClassNormal)
 	orDefault(&r.Idempotency, IdempotentByMethod)
 	orDefault(&r.Deadline, defaultDeadline)
+	orDefault(&r.Target, r.Deadline)
 	orDefault(&r.RecordWindow, defaultRecordWindow)
 	orDefault(&r.Retry.MaxAttempts, defaultMaxAttempts)
 	orDefault(&r.Retry.BudgetPercent, defaultRetryPercent)
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -38,9 +38,11 @@
 	if !rowName.MatchString(r.Name) {
 		p.Add(path+".name", fmt.Sprintf("%q is not a valid name", r.Name), nameRemedy)
 	}
-	if !rowName.MatchString(r.Pool) {
+	if len(r.Split) == 0 && !rowName.MatchString(r.Pool) {
 		p.Add(path+".pool", fmt.Sprintf("%q is not a valid pool name", r.Pool), nameRemedy)
 	}
+	r.validateSplit(&p, path)
+	nonNegative(&p, path+".target", float64(r.Target))
 	if r.Match.PathPrefix != "" && !strings.HasPrefix(r.Match.PathPrefix, "/") {
 		p.Add(path+".match.path_prefix", "does not start with a slash", `write it as "/prefix"`)
 	}
@@ -65,6 +67,27 @@
 	return p
 }
 
+func (r *Route) validateSplit(p *Problems, path string) {
+	if len(r.Split) == 0 {
+		return
+	}
+	if r.Pool != "" {
+		p.Add(path+".pool", "stands beside split", "keep one of the two")
+	}
+	total := 0.0
+	for i, s := range r.Split {
+		at := fmt.Sprintf("%s.split[%d]", path, i)
+		if !rowName.MatchString(s.Pool) {
+			p.Add(at+".pool", fmt.Sprintf("%q is not a valid pool name", s.Pool), nameRemedy)
+		}
+		nonNegative(p, at+".weight", s.Weight)
+		total += s.Weight
+	}
+	if total <= 0 {
+		p.Add(path+".split", "has no positive weight", "give at least one pool a weight above zero")
+	}
+}
+
 // Validate returns every problem of the pool; path is the JSON path of the row.
 func (pool *Pool) Validate(path string) Problems {
 	var p Problems
@@ -105,8 +128,10 @@
 func (t *Tables) CheckReferences() Problems {
 	var p Problems
 	for _, r := range t.matcher {
-		if _, ok := t.Pools[r.Pool]; !ok {
-			p.Add(fmt.Sprintf("$.routes[%q].pool", r.Name), fmt.Sprintf("pool %q does not exist", r.Pool), "create the pool or name an existing one")
+		for _, name := range r.PoolNames() {
+			if _, ok := t.Pools[name]; !ok {
+				p.Add(fmt.Sprintf("$.routes[%q].pool", r.Name), fmt.Sprintf("pool %q does not exist", name), "create the pool or name an existing one")
+			}
 		}
 	}
 	return p
