--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. Each call has a price, and keep-alive probes find
-	// a silent connection sooner, so it is near the longest that the store allows (30 s).
-	watchWait = 25 * time.Second
+	// watchWait is how long a watch waits for a change. A watch can miss a change without an error while
+	// the store drops its history; only the next call tells. It is below the 3 s after which an instance
+	// that reaches the store must know everything again.
+	watchWait = 2 * time.Second
 	// settle is the pause between an answer with changes and the next watch, so that changes in quick
 	// succession cost one call. It is a fraction of the 2 s within which changes must be in force.
 	settle = 400 * time.Millisecond
