Refuse early under overload and say when to come back

Cause: a request that found no room polled for it up to a third of its time. Change: a request waits at most a fifth of its target, less the more others found no room; one that misses its target anyway leaves the last room to others, also when its caller came back (the deadline it states tells); a refusal comes at once, with a Retry-After within the target while that can still be met, else spread over the time that the caller waits.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -87,7 +87,7 @@
 	exclude := x.tried[:len(x.tried):len(x.tried)]
 	x.mu.Unlock()
 	permit, err := x.e.ports.Placement.Acquire(a.ctx, AcquireRequest{
-		Pool: &x.pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start,
+		Pool: &x.pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.age),
 	})
 	if err != nil {
 		a.stop(failPlacement, err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	log       logr.Logger
 	timing    timing
 	metrics   *telemetry
+	patience  *patience
 
 	server  *http.Server
 	inner   *http.Server // serves streams from entries outside the home regions
@@ -79,7 +80,7 @@
 // New returns an entry that is not yet listening.
 func New(cfg settings.Settings, snapshots Snapshots, ports Ports, log logr.Logger) *Entry {
 	ports.setDefaults()
-	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, proto: *ports.Protocol, log: log, timing: defaultTiming, metrics: newTelemetry()}
+	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, proto: *ports.Protocol, log: log, timing: defaultTiming, metrics: newTelemetry(), patience: newPatience()}
 	e.conns = newConnPools(newDialer(maxAnswerHeader), cfg.Limits.MaxInstances)
 	e.relays = newRelayDialer(maxAnswerHeader)
 	e.streams = newStreamListener()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -44,6 +44,7 @@
 	id       string
 	start    time.Time
 	deadline time.Time
+	age      time.Duration // how long the caller has been trying, as far as its deadline tells
 	depth    int
 	body     *requestBody
 	header   http.Header
@@ -198,6 +199,7 @@
 		if err != nil || ms < 0 {
 			return refuseBadDeadline(x.e.proto.Deadline)
 		}
+		x.age = x.e.patience.age(x.route.Name, time.Duration(ms)*time.Millisecond)
 		if ms < limit.Milliseconds() {
 			limit = time.Duration(ms) * time.Millisecond
 		}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -116,6 +117,15 @@
 
 // refusePlacement explains why no permit was given.
 func refusePlacement(late bool, err error) *Refusal {
+	f := placementRefusal(late, err)
+	var hint interface{ RetryAfter() time.Duration }
+	if !late && errors.As(err, &hint) {
+		f.RetryAfter = hint.RetryAfter()
+	}
+	return f
+}
+
+func placementRefusal(late bool, err error) *Refusal {
 	switch {
 	case late:
 		return refuseLate()
--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/table"
@@ -16,12 +17,14 @@
 	// goodShare is the share of the target within which an answer is expected from an upstream that is
 	// taken without asking others.
 	goodShare = 0.55
+	// maxPatience is the share of the target that a request waits for room while few others do. Above it,
+	// waiting costs more answers within the target than it gains, in the experiment with 1x and 3x load.
+	maxPatience = 0.2
+	// pressureWeight is the weight of one request in the pressure: it follows the last ten or so.
+	pressureWeight = 0.1
 	// fitShare is the share of the target that may be used up by waiting and work together. The rest is
 	// for the spread of the work around its mean.
 	fitShare = 0.85
-	// lastShare is the share of the time for the request after which one that has met no upstream with
-	// room is refused.
-	lastShare = 0.35
 )
 
 // candidate is an upstream that may take the request.
@@ -71,6 +74,8 @@
 	target   time.Duration // for the whole request
 	deadline time.Time
 	start    time.Time
+	patience time.Duration // the longest wait for an upstream with room
+	crowded  bool          // many requests find no room
 }
 
 // best returns the candidate with the least cost, or nil.
@@ -93,7 +98,11 @@
 func (ch *chooser) decide(now time.Time, b *candidate, unasked bool) verdict {
 	elapsed := now.Sub(ch.start)
 	left := ch.deadline.Sub(now)
+	late := elapsed+time.Duration(workShare*float64(ch.target)) >= ch.target
 	roomy := b != nil && hasRoom(b.reading)
+	if roomy && late && ch.crowded && !hasRoom(b.reading.plus(1)) {
+		roomy = false // leave the last room to a request that can still meet its target
+	}
 	if roomy && float64(elapsed+b.cost) <= fitShare*float64(ch.target) {
 		return take
 	}
@@ -102,14 +111,49 @@
 	}
 	// Nothing fits now. An upstream may become free or fast while the target can still be met.
 	usual := time.Duration(workShare * float64(ch.target))
-	if elapsed+usual < time.Duration(fitShare*float64(ch.target)) {
+	if elapsed < ch.patience && elapsed+usual < time.Duration(fitShare*float64(ch.target)) {
 		return pause
 	}
 	if roomy && b.cost < left {
 		return take
 	}
-	if elapsed < time.Duration(lastShare*float64(ch.deadline.Sub(ch.start))) {
-		return pause
-	}
 	return refuse
 }
+
+// pressure is the share of recent requests that found no upstream with room when
+// they came. It answers overload: requests that wait for room take it from those
+// that come later and could still meet their target, so the higher the pressure,
+// the sooner a request is refused.
+type pressure struct {
+	mu    sync.Mutex
+	share float64
+}
+
+// note counts a request.
+func (p *pressure) note(crowded bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share *= 1 - pressureWeight
+	if crowded {
+		p.share += pressureWeight
+	}
+}
+
+// crowdedShare is the pressure from which requests that miss their target anyway
+// give way to others.
+const crowdedShare = 0.3
+
+// crowded reports whether many requests find no room.
+func (p *pressure) crowded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.share > crowdedShare
+}
+
+// patience is how long a request may wait for room.
+func (p *pressure) patience(target time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	calm := 1 - p.share
+	return time.Duration(maxPatience * calm * calm * float64(target))
+}
--- a/pkg/placement/sampled/estimate.go
+++ b/pkg/placement/sampled/estimate.go
@@ -65,6 +65,12 @@
 	return time.Duration(total + penalty*float64(target))
 }
 
+// plus returns the reading with n more requests.
+func (r Reading) plus(n int) Reading {
+	r.Running += n
+	return r
+}
+
 // hasRoom reports whether the upstream can take another request without slowing
 // down all that it runs. An upstream that fills its last slots works longer on
 // each request than it gains by running one more: four requests at 1.7 times the
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -59,13 +60,14 @@
 	suspects *suspicions
 
 	mu      sync.Mutex
+	crowds  map[string]*pressure // by pool
 	pending map[string]int       // requests of this instance by upstream
 	coldAt  map[string]time.Time // the last request to a cold upstream
 }
 
 // New returns a policy.
 func New(place Place, asker Asker, log logr.Logger) *Policy {
-	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), pending: map[string]int{}, coldAt: map[string]time.Time{}}
+	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), pending: map[string]int{}, crowds: map[string]*pressure{}, coldAt: map[string]time.Time{}}
 }
 
 // Choice is an upstream that was chosen. Done is called exactly once.
@@ -82,18 +84,22 @@
 	if !ok {
 		deadline = r.Start.Add(r.Route.Deadline.Std())
 	}
-	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start}
+	crowd := p.crowd(r.Pool.Name)
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, patience: crowd.patience(r.Route.Target.Std()), crowded: crowd.crowded()}
 	rounds := 0
-	for {
+	for first := true; ; first = false {
 		list := p.candidates(r)
 		if len(list) == 0 {
-			return nil, fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service")
+			return nil, &Refused{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.comeBack(time.Now(), rand.Float64())}
 		}
 		rank(list)
 		v, b := p.pass(ctx, ch, r, list, &rounds)
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
+		if first {
+			crowd.note(b == nil || !hasRoom(b.reading))
+		}
 		switch {
 		case v == take:
 			if c := p.claim(b); c != nil {
@@ -104,7 +110,7 @@
 			}
 		case v == refuse || r.Urgent:
 			p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "waited", time.Since(r.Start).String())
-			return nil, fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay")
+			return nil, &Refused{fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay"), ch.comeBack(time.Now(), rand.Float64())}
 		}
 		if !wait(ctx, pauseTime) {
 			return nil, context.Cause(ctx)
@@ -202,6 +208,17 @@
 	return list
 }
 
+func (p *Policy) crowd(pool string) *pressure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.crowds[pool]
+	if c == nil {
+		c = &pressure{}
+		p.crowds[pool] = c
+	}
+	return c
+}
+
 // claim counts the request at its upstream. It returns nil when another request
 // of this instance went to the same cold upstream meanwhile.
 func (p *Policy) claim(c *candidate) *Choice {
