--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,7 +62,8 @@
 	return hex.EncodeToString(b)
 }
 
-func instanceID(cfg settings.Settings) peer.InstanceID {
+// InstanceID returns a new ID for an instance with the given settings.
+func InstanceID(cfg settings.Settings) peer.InstanceID {
 	return peer.InstanceID(cfg.Instance + "/" + newIncarnation())
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/internal/tlsconf"
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
@@ -34,13 +35,10 @@
 
 // Provision implements kernel.Provisioner.
 func (p *peers) Provision(*kernel.Kernel) error {
-	s := peer.Settings{ID: instanceID(p.cfg)}
-	if files := p.cfg.Peers.TLS; files != nil {
-		conf, err := tlsconf.Peer(*files)
-		if err != nil {
-			return err
-		}
-		s.TLS, s.VerifyPeer = conf, verifyName
+	s := peer.Settings{ID: InstanceID(p.cfg)}
+	var err error
+	if s.TLS, s.VerifyPeer, err = PeerCredentials(p.cfg); err != nil {
+		return err
 	}
 	listener, err := net.Listen("tcp", p.cfg.Peers.Listen)
 	if err != nil {
@@ -51,6 +49,18 @@
 	return err
 }
 
+// PeerCredentials returns what the settings say about TLS between instances; nil means plaintext.
+func PeerCredentials(cfg settings.Settings) (*tls.Config, func(peer.InstanceID, tls.ConnectionState) error, error) {
+	if cfg.Peers.TLS == nil {
+		return nil, nil, nil
+	}
+	conf, err := tlsconf.Peer(*cfg.Peers.TLS)
+	if err != nil {
+		return nil, nil, err
+	}
+	return conf, verifyName, nil
+}
+
 // onCallPath are the services whose messages a request waits for, or that move
 // records to new members of a view. They grow with the requests, so the control
 // byte budget would hold requests back; all other services stay within it.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -1,10 +1,12 @@
 // Package follow keeps the tables of an instance equal to what the operator and
 // the upstreams write to the platform's store.
 //
-// One goroutine for each prefix lists and then watches the store; one goroutine
-// owns the state and publishes immutable snapshots. The store is the only place
-// that keeps anything: an instance that starts lists it before it has tables. While
-// the store cannot be read, the last state stays in force.
+// One goroutine asks for changes: a few readers ask the store, all others ask a
+// reader (see Readers) and fall back to the store when a reader fails or knows
+// nothing fresh. Another goroutine owns the state and publishes immutable snapshots.
+// The store is the only place that keeps anything: an instance that starts lists it
+// before it has tables. While neither the store nor a reader can be reached, the
+// last state stays in force.
 package follow
 
 import (
@@ -13,50 +15,90 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
 
 const (
 	// watchWait is how long a watch waits for a change. A watch can miss a change without an error while
-	// the store drops its history; only the next call tells. It is below the 3 s after which an instance
-	// that reaches the store must know everything again.
-	watchWait = 2 * time.Second
+	// the store drops its history; only the next call tells. With settle and maxAge it keeps what an
+	// instance knows younger than the 2 s within which changes must be in force.
+	watchWait = time.Second
 	// settle is the pause between an answer with changes and the next watch, so that changes in quick
-	// succession cost one call. It is a fraction of the 2 s within which changes must be in force.
+	// succession cost one call.
 	settle = 400 * time.Millisecond
+	// maxAge is the age from which the knowledge of a reader is not fresh: a watch, a pause and some slack.
+	maxAge = watchWait + settle + 200*time.Millisecond
+	// lapseGap is the time without word from the store after which entries may have lapsed in it: they do
+	// after three heartbeats of 1.5 s, of which one may have come just before.
+	lapseGap = 2500 * time.Millisecond
+	// startPause is the pause after the first list while no reader is known: all instances of a
+	// deployment may start at once, and the first readers are there within it.
+	startPause = 1200 * time.Millisecond
+	// avoidTime is how long a reader that failed is not asked.
+	avoidTime = 3 * time.Second
 	// retryMin and retryMax bound the pause after a failed call. The maximum leaves time to learn of a
 	// change within 2 s once the store has been back for 3 s.
 	retryMin = 300 * time.Millisecond
 	retryMax = 1200 * time.Millisecond
 )
 
+// Parts are the parts that a follower uses.
+type Parts struct {
+	Source store.ChangeLog
+	Codec  Codec
+	// Holder and Peers let instances read the store for each other; without them the follower reads it itself.
+	Holder store.Holder
+	Peers  peer.Transport
+	Self   Self
+}
+
 // Follower publishes snapshots of the store.
 type Follower struct {
 	log     logr.Logger
 	source  store.ChangeLog
 	codec   Codec
+	holder  store.Holder
+	peers   peer.Transport
+	self    Self
+	tail    *tail
+	readers atomic.Pointer[map[string]Reader]
+	reading atomic.Bool // this instance holds a place
 	current atomic.Pointer[control.Snapshot]
 	batches chan batch
+
+	// Owned by follow.
+	after   uint64
+	listed  bool
+	failing bool // the last call to the store failed
+	avoid   map[peer.InstanceID]time.Time
+	direct  time.Time // until when the store is asked although there is a reader
 }
 
-// batch is one answer of the store.
+// batch is one answer of the store or of a reader.
 type batch struct {
-	prefix   string
-	listed   bool // entries replace everything under prefix
-	returned bool // calls had failed before this answer
+	listed   bool // entries replace everything
+	returned bool // the store may have been away before this answer
 	entries  []store.Entry
 	changes  []store.Change
 }
 
 // New returns a follower without tables.
-func New(source store.ChangeLog, codec Codec, log logr.Logger) *Follower {
-	f := &Follower{source: source, codec: codec, log: log, batches: make(chan batch)}
+func New(p Parts, log logr.Logger) *Follower {
+	f := &Follower{
+		source: p.Source, codec: p.Codec, holder: p.Holder, peers: p.Peers, self: p.Self, log: log,
+		tail: newTail(), batches: make(chan batch), avoid: map[peer.InstanceID]time.Time{},
+	}
 	f.current.Store(&control.Snapshot{})
+	if f.peers != nil {
+		f.peers.Handle(Service, f.serve)
+	}
 	return f
 }
 
@@ -66,77 +108,155 @@
 // Ready reports whether tables are known.
 func (f *Follower) Ready() bool { return f.Snapshot().Tables != nil }
 
+// Address returns the peer address of a reader.
+func (f *Follower) Address(id peer.InstanceID) (string, bool) {
+	if known := f.readers.Load(); known != nil {
+		for _, r := range *known {
+			if r.ID == id {
+				return r.Address, true
+			}
+		}
+	}
+	return "", false
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	for _, prefix := range f.codec.Prefixes() {
-		g.Go(func() error { return f.follow(ctx, prefix) })
-	}
+	g.Go(func() error { return f.follow(ctx) })
 	g.Go(func() error { return f.own(ctx) })
+	if f.holder != nil && f.peers != nil {
+		g.Go(func() error { return f.holdPlace(ctx) })
+	}
 	return g.Wait()
 }
 
-// follow lists and watches one prefix.
-func (f *Follower) follow(ctx context.Context, prefix string) error {
-	var after uint64
-	listed, failing := false, false
+// follow asks for changes until ctx ends.
+func (f *Follower) follow(ctx context.Context) error {
 	pause := retryMin
 	for ctx.Err() == nil {
-		b := batch{prefix: prefix, returned: failing}
-		var err error
-		if listed {
-			b.changes, after, err = f.changes(ctx, prefix, after)
-		} else {
-			b.listed = true
-			b.entries, after, err = f.source.List(ctx, prefix)
-		}
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case fault.Is(err, fault.NotFound):
-			f.log.Info("history lost", "prefix", prefix, "after", after)
-			listed = false
-			continue
-		case err != nil:
-			if !failing {
-				f.log.Info("store lost", "prefix", prefix, "error", err.Error())
-			}
-			failing = true
-			sleep(ctx, jitter(pause))
-			pause = min(2*pause, retryMax)
+		if f.followReader(ctx) {
 			continue
-		case failing:
-			f.log.Info("store regained", "prefix", prefix, "revision", after)
 		}
-		listed, failing, pause = true, false, retryMin
-		if len(b.changes) == 0 && !b.listed && !b.returned {
+		if f.followStore(ctx) {
+			pause = retryMin
 			continue
 		}
-		select {
-		case f.batches <- b:
-		case <-ctx.Done():
-		}
-		sleep(ctx, settle)
+		sleep(ctx, jitter(pause))
+		pause = min(2*pause, retryMax)
 	}
 	return ctx.Err()
 }
 
-// changes keeps the revision of a call that failed.
-func (f *Follower) changes(ctx context.Context, prefix string, after uint64) ([]store.Change, uint64, error) {
-	changes, next, err := f.source.Changes(ctx, prefix, after, watchWait)
+// followReader asks a reader once. It reports false when the store must be asked instead.
+func (f *Follower) followReader(ctx context.Context) bool {
+	now := time.Now()
+	if f.reading.Load() || !f.listed || now.Before(f.direct) {
+		return false
+	}
+	reader, ok := f.pickReader(f.avoid, now)
+	if !ok {
+		return false
+	}
+	r, err := f.ask(ctx, reader.ID, f.after, false)
+	full := fault.Is(err, fault.NotFound)
+	if full {
+		r, err = f.ask(ctx, reader.ID, 0, true)
+	}
+	if err == nil && r.revision < f.after && full {
+		err = fault.New(fault.Unavailable, "the reader is behind", "ask another one")
+	}
 	if err != nil {
-		return nil, after, err
+		if ctx.Err() == nil {
+			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
+			f.avoid[reader.ID] = time.Now().Add(avoidTime)
+		}
+		return false
+	}
+	confirmed := time.Now().Add(-r.age)
+	returned := f.tail.gap(confirmed) > lapseGap
+	if full {
+		f.tail.reset(r.entries, r.revision, confirmed)
+	} else {
+		f.tail.apply(r.changes, r.revision, confirmed)
+	}
+	f.after = max(f.after, r.revision)
+	f.pass(ctx, batch{listed: full, returned: returned, entries: r.entries, changes: r.changes})
+	return r.age <= maxAge
+}
+
+// followStore asks the store once and reports whether it answered.
+func (f *Follower) followStore(ctx context.Context) bool {
+	b := batch{returned: f.failing, listed: !f.listed}
+	asked := time.Now()
+	var err error
+	next := f.after
+	if b.listed {
+		b.entries, next, err = f.source.List(ctx, "")
+	} else {
+		b.changes, next, err = f.source.Changes(ctx, "", f.after, watchWait)
+	}
+	switch {
+	case ctx.Err() != nil:
+		return false
+	case fault.Is(err, fault.NotFound):
+		f.log.Info("history lost", "after", f.after)
+		f.listed = false
+		return true
+	case err != nil:
+		if !f.failing {
+			f.log.Info("store lost", "error", err.Error())
+		}
+		f.failing = true
+		return false
+	case f.failing:
+		f.log.Info("store regained", "revision", next)
+		f.failing = false
+	}
+	confirmed := time.Now()
+	if !b.listed && len(b.changes) == 0 && next > f.after {
+		// The store went on and told nothing: the watch missed changes while the history was dropped.
+		f.log.Info("changes missed", "after", f.after, "revision", next)
+		next, confirmed = f.after, asked
+	}
+	b.returned = b.returned || f.tail.gap(confirmed) > lapseGap
+	first := f.after == 0
+	if b.listed {
+		f.tail.reset(b.entries, next, confirmed)
+	} else {
+		f.tail.apply(b.changes, max(next, f.after), confirmed)
+	}
+	f.after, f.listed = max(next, f.after), true
+	if len(b.changes) > 0 || b.listed || b.returned {
+		f.pass(ctx, b)
+		if first && !f.hasReaders() {
+			sleep(ctx, startPause)
+		} else {
+			sleep(ctx, settle)
+		}
+	}
+	return true
+}
+
+func (f *Follower) hasReaders() bool {
+	known := f.readers.Load()
+	return known != nil && len(*known) > 0
+}
+
+// pass hands an answer to the owner of the state.
+func (f *Follower) pass(ctx context.Context, b batch) {
+	if !b.listed && !b.returned && len(b.changes) == 0 {
+		return
+	}
+	select {
+	case f.batches <- b:
+	case <-ctx.Done():
 	}
-	return changes, max(next, after), nil
 }
 
 // own owns the mirror.
 func (f *Follower) own(ctx context.Context) error {
 	m := newMirror(f.codec)
-	missing := map[string]bool{}
-	for _, prefix := range f.codec.Prefixes() {
-		missing[prefix] = true
-	}
 	var due <-chan time.Time
 	for {
 		select {
@@ -144,7 +264,6 @@
 			return ctx.Err()
 		case <-due:
 		case b := <-f.batches:
-			delete(missing, b.prefix)
 			f.take(m, b, time.Now())
 		}
 		now := time.Now()
@@ -153,9 +272,7 @@
 		if !next.IsZero() {
 			due = time.After(next.Sub(now))
 		}
-		if len(missing) == 0 {
-			f.publish(m)
-		}
+		f.publish(m)
 	}
 }
 
@@ -164,10 +281,10 @@
 		m.returned(now)
 	}
 	if b.listed {
-		for _, err := range m.reset(b.prefix, b.entries, now) {
-			f.log.Info("entry ignored", "prefix", b.prefix, "error", err.Error())
+		for _, err := range m.reset(b.entries, now) {
+			f.log.Info("entry ignored", "error", err.Error())
 		}
-		f.log.Info("listed", "prefix", b.prefix, "entries", len(b.entries))
+		f.log.Info("listed", "entries", len(b.entries))
 		return
 	}
 	for _, c := range b.changes {
@@ -180,6 +297,8 @@
 }
 
 func (f *Follower) publish(m *mirror) {
+	readers := m.readers()
+	f.readers.Store(&readers)
 	tables, problems := m.tables()
 	if tables == nil {
 		return
@@ -190,6 +309,11 @@
 	f.current.Store(&control.Snapshot{Tables: tables, Refused: problems})
 }
 
+// weight orders the readers of a region for this instance (rendezvous hashing).
+func (f *Follower) weight(id peer.InstanceID) uint64 {
+	return xxhash.Sum64String(string(f.self.ID) + " " + string(id))
+}
+
 // jitter spreads the calls of instances that failed together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -20,8 +20,6 @@
 // plainCodec reads "config VERSION", "out DOMAIN" and "up SERVICE STATE".
 type plainCodec struct{}
 
-func (plainCodec) Prefixes() []string { return []string{""} }
-
 func (plainCodec) Decode(e store.Entry) (Fact, error) {
 	words := strings.Fields(string(e.Value))
 	switch {
@@ -135,7 +133,7 @@
 }
 
 func start(t *testing.T, l *fakeLog) *Follower {
-	f := New(l, plainCodec{}, logr.Discard())
+	f := New(Parts{Source: l, Codec: plainCodec{}}, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = f.Run(ctx); close(done) }()
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -27,13 +27,12 @@
 	// FailureDomainOut is a failure domain whose upstreams get no new work.
 	FailureDomainOut string
 	Upstream         *store.ListedInstance
+	reader           *Reader
 }
 
-// Codec decodes the keys of the store.
+// Codec decodes the keys that the operator and the upstreams write.
 type Codec interface {
-	// Prefixes lists the prefixes of the keys to follow.
-	Prefixes() []string
-	// Decode decodes one entry.
+	// Decode decodes one entry. A key without meaning gives an empty fact.
 	Decode(e store.Entry) (Fact, error)
 }
 
@@ -63,8 +62,8 @@
 // returned notes that the store answers again after calls to it had failed.
 func (m *mirror) returned(now time.Time) { m.believeAt = now.Add(lapseGrace) }
 
-// reset replaces everything under prefix. Entries that cannot be decoded are reported.
-func (m *mirror) reset(prefix string, entries []store.Entry, now time.Time) []error {
+// reset replaces everything. Entries that cannot be decoded are reported.
+func (m *mirror) reset(entries []store.Entry, now time.Time) []error {
 	var errs []error
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -74,7 +73,7 @@
 		}
 	}
 	for key := range m.records {
-		if strings.HasPrefix(key, prefix) && !listed[key] {
+		if !listed[key] {
 			m.remove(key, now)
 		}
 	}
@@ -96,7 +95,13 @@
 // put takes over an entry. One that cannot be decoded names no upstream; a
 // configuration that cannot be decoded leaves the last one in force.
 func (m *mirror) put(e store.Entry) error {
-	fact, err := m.codec.Decode(e)
+	var fact Fact
+	var err error
+	if strings.HasPrefix(e.Key, readersPrefix) {
+		fact.reader, err = decodeReader(e)
+	} else {
+		fact, err = m.codec.Decode(e)
+	}
 	if err != nil {
 		fact = Fact{}
 	}
@@ -136,6 +141,17 @@
 	return next, changed
 }
 
+// readers returns the holders of places by key.
+func (m *mirror) readers() map[string]Reader {
+	readers := map[string]Reader{}
+	for key, r := range m.records {
+		if r.fact.reader != nil {
+			readers[key] = *r.fact.reader
+		}
+	}
+	return readers
+}
+
 // tables builds the tables in force, or nil without a configuration.
 func (m *mirror) tables() (*table.Tables, table.Problems) {
 	if m.config == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,7 +12,6 @@
 
 	"github.com/turmericsail/turmericsail/internal/admin"
 	"github.com/turmericsail/turmericsail/internal/entry"
-	"github.com/turmericsail/turmericsail/internal/follow"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
 	"github.com/turmericsail/turmericsail/platform"
@@ -20,6 +19,7 @@
 
 // Names of the services.
 const (
+	PeerTransport = "peer.transport"
 	ControlFollow = "control.follow"
 	EntryHTTP     = "entry.http"
 	AdminHTTP     = "admin.http"
@@ -37,7 +37,8 @@
 		name    string
 		service any
 	}{
-		{ControlFollow, follow.New(platform.NewStore(cfg.Platform.Store), platform.Codec{Regions: cfg.Platform.Domains}, log.WithName(ControlFollow))},
+		{PeerTransport, &peers{cfg: cfg, log: log.WithName(PeerTransport)}},
+		{ControlFollow, &follower{cfg: cfg, log: log.WithName(ControlFollow)}},
 		{EntryHTTP, &callers{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &operators{cfg: cfg}},
 		{EntryLeave, &leaver{notice: cfg.Shutdown.Notice.Std(), log: log.WithName(EntryLeave)}},
@@ -65,7 +66,7 @@
 
 // Provision implements kernel.Provisioner.
 func (c *callers) Provision(k *kernel.Kernel) error {
-	tables, err := kernel.Lookup[*follow.Follower](k, ControlFollow)
+	tables, err := kernel.Lookup[*follower](k, ControlFollow)
 	if err != nil {
 		return err
 	}
@@ -91,7 +92,7 @@
 
 // Provision implements kernel.Provisioner.
 func (o *operators) Provision(k *kernel.Kernel) error {
-	tables, err := kernel.Lookup[*follow.Follower](k, ControlFollow)
+	tables, err := kernel.Lookup[*follower](k, ControlFollow)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/turmericsail/turmericsail/internal/daemon"
+	"github.com/turmericsail/turmericsail/internal/follow"
+	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/kernel"
+	"github.com/turmericsail/turmericsail/pkg/peer"
+	"github.com/turmericsail/turmericsail/pkg/table"
+	"github.com/turmericsail/turmericsail/platform"
+)
+
+const (
+	// peerConnect bounds the opening of a connection to another instance: a few round trips between regions.
+	peerConnect = 400 * time.Millisecond
+	// peerRate is the traffic that an instance may send to others in a second. Only followed changes are
+	// sent, which the settling pause bounds already.
+	peerRate = 64 << 20
+	// Keep-alive probes find a connection that went silent within three seconds.
+	peerKeepAlive       = time.Second
+	peerKeepAliveProbes = 2
+)
+
+// peers is the transport to the other instances, or none without a listener in the settings.
+type peers struct {
+	cfg settings.Settings
+	log logr.Logger
+	*peer.TCPTransport
+}
+
+var (
+	_ kernel.Provisioner = (*peers)(nil)
+	_ kernel.Runner      = (*peers)(nil)
+)
+
+// Provision implements kernel.Provisioner.
+func (p *peers) Provision(*kernel.Kernel) error {
+	if p.cfg.Peers.Listen == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.cfg.Peers.Listen)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "the peers' listener cannot be opened", "correct $.peers.listen or end the process that has the address")
+	}
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerKeepAlive, Interval: peerKeepAlive, Count: peerKeepAliveProbes}}
+	s := peer.Settings{ID: daemon.InstanceID(p.cfg), Listener: listener, ControlRate: peerRate, ConnectTimeout: table.Duration(peerConnect), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}}
+	if s.TLS, s.VerifyPeer, err = daemon.PeerCredentials(p.cfg); err != nil {
+		return err
+	}
+	p.TCPTransport, err = peer.New(s, p.log)
+	return err
+}
+
+// Run implements kernel.Runner.
+func (p *peers) Run(ctx context.Context) error {
+	if p.TCPTransport == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return p.TCPTransport.Run(ctx)
+}
+
+// follower follows the platform's store.
+type follower struct {
+	cfg settings.Settings
+	log logr.Logger
+	*follow.Follower
+}
+
+var (
+	_ kernel.Provisioner = (*follower)(nil)
+	_ kernel.Runner      = (*follower)(nil)
+)
+
+// Provision implements kernel.Provisioner.
+func (f *follower) Provision(k *kernel.Kernel) error {
+	p, err := kernel.Lookup[*peers](k, PeerTransport)
+	if err != nil {
+		return err
+	}
+	client := platform.NewStore(f.cfg.Platform.Store)
+	parts := follow.Parts{
+		Source: client, Codec: platform.Codec{Regions: f.cfg.Platform.Domains}, Holder: client,
+		Self: follow.Self{LinkMbps: f.cfg.Platform.LinkMbps},
+	}
+	parts.Self.Region = f.cfg.Region
+	if p.TCPTransport != nil {
+		parts.Peers = p.TCPTransport
+		parts.Self.ID, parts.Self.Address = p.Self(), f.cfg.Peers.Advertise
+	}
+	f.Follower = follow.New(parts, f.log)
+	if p.TCPTransport != nil {
+		p.SetResolver(f.Address)
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,8 +49,8 @@
 	Shutdown Shutdown `json:"shutdown,omitzero"`
 	// Log sets what is logged. Logs are JSON lines on standard error, or on standard output on the platform.
 	Log Log `json:"log,omitzero"`
-	// Platform runs the instance on the users' platform: the tables come from the platform's store, and
-	// peers and store are not used. Default: none.
+	// Platform runs the instance on the users' platform: the tables come from the platform's store, store
+	// is not used, and without peers the instance reads that store by itself. Default: none.
 	Platform *Platform `json:"platform,omitempty"`
 }
 
@@ -62,6 +62,9 @@
 	Domains map[string]string `json:"domains"`
 	// Bounds lists the figures of the platform's rules, each as name=value. Default: none.
 	Bounds []string `json:"bounds,omitempty"`
+	// LinkMbps is the bandwidth of the machine's link in Mbit/s. Instances with slow links read the store
+	// for others only when no other instance does. Default 0: not known.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // Listener is a TCP listener with its TLS settings.
@@ -216,8 +219,11 @@
 	s.Callers.validate(&p, "$.callers", false)
 	if s.Platform != nil {
 		s.Platform.validate(&p, s)
-	} else {
+	}
+	if s.Platform == nil || s.Peers.Listen != "" {
 		s.Peers.validate(&p, "$.peers", true)
+	}
+	if s.Platform == nil {
 		s.Store.validate(&p)
 	}
 	s.validateLimits(&p)
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -169,6 +169,17 @@
 	Deleted bool
 }
 
+// Holder keeps keys that vanish when their holder stops renewing them.
+type Holder interface {
+	// Hold writes a key that does not exist under a new lease of the given length. A Conflict fault means
+	// that the key has another holder. After an OutcomeUnknown fault the key may exist until the lease lapses.
+	Hold(ctx context.Context, key string, value []byte, ttl time.Duration) (LeaseID, error)
+	// Renew extends a lease; a NotFound fault means that it has lapsed.
+	Renew(ctx context.Context, id LeaseID) error
+	// Release ends a lease and removes its keys.
+	Release(ctx context.Context, id LeaseID) error
+}
+
 // ChangeLog is a store that tells its changes one by one.
 type ChangeLog interface {
 	// List returns the entries under prefix and a revision from which Changes tells everything that the
