Ask a subset of a large pool first

Change: 12 upstreams of each pool by rendezvous hashing are asked first, those of the own region before others.

--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -29,7 +29,7 @@
 
 func (p *placer) provision(cfg settings.Settings, e *entry.Entry, log logr.Logger) {
 	p.entry = e
-	p.policy = sampled.New(sampled.Place{Region: cfg.Region, FailureDomain: cfg.FailureDomain}, p, log)
+	p.policy = sampled.New(sampled.Place{Instance: cfg.Instance, Region: cfg.Region, FailureDomain: cfg.FailureDomain}, p, log)
 }
 
 // Ask implements sampled.Asker.
--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -38,6 +40,7 @@
 	reading Reading
 	asked   bool
 	barred  bool // failed to answer, or cold and busy
+	usual   bool // belongs to the instance's subset of the pool
 }
 
 // rank orders candidates for asking: the nearest first, suspects last, the rest at random.
@@ -48,15 +51,53 @@
 	})
 }
 
-// order groups candidates: own region, other regions, then suspects.
+// order groups candidates: those of the own region before others, those of the
+// instance's subset first in each, then suspects.
 func (c *candidate) order() int {
-	switch {
-	case c.suspicion > 0.5:
-		return 2
-	case c.distance == OtherRegion:
-		return 1
+	order := 0
+	if !c.usual {
+		order++
+	}
+	if c.remote() {
+		order += 2
+	}
+	if c.suspicion > suspect {
+		order = 4
+	}
+	return order
+}
+
+// suspect is the suspicion from which an upstream is asked last: one failure within the last two seconds.
+const suspect = 0.5
+
+func (c *candidate) remote() bool { return c.distance == OtherRegion }
+
+// subsetSize is the number of upstreams of a pool that an instance asks first. It
+// answers large pools: with all of them asked in turn, connections go idle and are
+// closed between two questions. Three samples leave room for upstreams that are slow or gone.
+const subsetSize = 3 * sampleSize
+
+// markSubset marks the instance's subset: the nearest upstreams, by rendezvous
+// hashing among those of the same distance, so that every upstream is in the
+// subsets of about as many instances and a change of the pool moves few.
+func markSubset(list []*candidate, instance string) {
+	type weighed struct {
+		c      *candidate
+		weight uint64
+	}
+	all := make([]weighed, len(list))
+	for i, c := range list {
+		all[i] = weighed{c, xxhash.Sum64String(instance + " " + c.upstream.ID)}
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		if a.c.remote() != b.c.remote() {
+			return cmp.Compare(a.c.distance, b.c.distance)
+		}
+		return cmp.Compare(a.weight, b.weight)
+	})
+	for _, w := range all[:min(subsetSize, len(all))] {
+		w.c.usual = true
 	}
-	return 0
 }
 
 // verdict is what a chooser decides after a round of readings.
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -29,8 +29,8 @@
 	Ask(ctx context.Context, pool *table.Pool, u table.Upstream) (Reading, error)
 }
 
-// Place is where this instance runs.
-type Place struct{ Region, FailureDomain string }
+// Place is where this instance runs. Instance is its name, which selects its subset of a large pool.
+type Place struct{ Instance, Region, FailureDomain string }
 
 func (p Place) distance(u table.Upstream) Distance {
 	switch {
@@ -92,6 +92,7 @@
 		if len(list) == 0 {
 			return nil, &Refused{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.comeBack(time.Now(), rand.Float64())}
 		}
+		markSubset(list, p.place.Instance)
 		rank(list)
 		v, b := p.pass(ctx, ch, r, list, &rounds)
 		if ctx.Err() != nil {
