--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -14,10 +15,14 @@
 )
 
 const (
-	// nearTimeout and farTimeout bound the wait for a reading, within a region and between regions: a few
-	// round trips and a new connection.
-	nearTimeout = 40 * time.Millisecond
-	farTimeout  = 120 * time.Millisecond
+	// askShare is the share of the target that bounds the wait for a reading, and askMin and askMax bound
+	// it: a new connection and a question take four round trips, 100 ms between regions, and a machine
+	// with a sixth of a core may take as long for its own part while it starts.
+	askShare = 1.0 / 6
+	askMin   = 60 * time.Millisecond
+	askMax   = 150 * time.Millisecond
+	// farExtra is added for upstreams in other regions.
+	farExtra = 60 * time.Millisecond
 	// pauseTime is the wait before candidates are asked again, a fraction of the spells of slowness.
 	pauseTime = 20 * time.Millisecond
 	// coldGap is the least time between two requests of this instance to the same cold upstream.
@@ -138,11 +143,9 @@
 // ask asks a group at once and returns the first good one, or nil when all have
 // answered or timed out.
 func (p *Policy) ask(ctx context.Context, ch *chooser, r Request, group []*candidate) *candidate {
-	timeout := nearTimeout
-	for _, c := range group {
-		if c.distance == OtherRegion {
-			timeout = farTimeout
-		}
+	timeout := min(max(time.Duration(askShare*float64(ch.target)), askMin), askMax)
+	if slices.ContainsFunc(group, (*candidate).remote) {
+		timeout += farExtra
 	}
 	// The calls outlive an early choice, so that their connections can be used again.
 	askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
@@ -180,7 +183,11 @@
 	c.asked = true
 	if err != nil || r.Upstream != "" && r.Upstream != c.upstream.ID {
 		c.barred = true
-		p.suspects.failed(c.upstream.ID, 1, time.Now())
+		weight := 1.0
+		if errors.Is(err, context.DeadlineExceeded) {
+			weight = silentWeight
+		}
+		p.suspects.failed(c.upstream.ID, weight, time.Now())
 		return
 	}
 	if !r.Loaded { // only this instance's own requests are known
--- a/pkg/placement/sampled/suspicion.go
+++ b/pkg/placement/sampled/suspicion.go
@@ -10,6 +10,11 @@
 // or restarting upstream is tried again within a few seconds.
 const suspicionHalf = 2 * time.Second
 
+// silentWeight is the suspicion after a question without an answer in time. It is
+// below that of a failure, because the cause may be this machine: the second one in
+// a row makes a suspect.
+const silentWeight = 0.4
+
 // suspicions remembers which upstreams failed. It answers upstreams that fail
 // requests while their health answers are good.
 type suspicions struct {
