--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -41,6 +41,8 @@
 	// startPause is the pause after the first list while no reader is known: all instances of a
 	// deployment may start at once, and the first readers are there within it.
 	startPause = 1200 * time.Millisecond
+	// quickFailure is the time within which a failed question leaves time for another reader.
+	quickFailure = 150 * time.Millisecond
 	// avoidTime is how long a reader that failed is not asked.
 	avoidTime = 3 * time.Second
 	// retryMin and retryMax bound the pause after a failed call. The maximum leaves time to learn of a
@@ -78,7 +80,6 @@
 	listed  bool
 	failing bool // the last call to the store failed
 	avoid   map[peer.InstanceID]time.Time
-	direct  time.Time // until when the store is asked although there is a reader
 }
 
 // batch is one answer of the store or of a reader.
@@ -148,16 +149,26 @@
 	return ctx.Err()
 }
 
-// followReader asks a reader once. It reports false when the store must be asked instead.
+// followReader asks a reader once, and another one when the first failed at once.
+// It reports false when the store must be asked instead.
 func (f *Follower) followReader(ctx context.Context) bool {
-	now := time.Now()
-	if f.reading.Load() || !f.listed || now.Before(f.direct) {
-		return false
-	}
-	reader, ok := f.pickReader(f.avoid, now)
-	if !ok {
-		return false
+	for start := time.Now(); time.Since(start) < quickFailure; {
+		if f.reading.Load() || !f.listed {
+			return false
+		}
+		reader, ok := f.pickReader(f.avoid, time.Now())
+		if !ok {
+			return false
+		}
+		if fresh, failed := f.askReader(ctx, reader); !failed {
+			return fresh
+		}
 	}
+	return false
+}
+
+// askReader asks one reader and reports whether its knowledge is fresh.
+func (f *Follower) askReader(ctx context.Context, reader Reader) (fresh, failed bool) {
 	r, err := f.ask(ctx, reader.ID, f.after, false)
 	full := fault.Is(err, fault.NotFound)
 	if full {
@@ -171,7 +182,7 @@
 			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
 			f.avoid[reader.ID] = time.Now().Add(avoidTime)
 		}
-		return false
+		return false, true
 	}
 	confirmed := time.Now().Add(-r.age)
 	returned := f.tail.gap(confirmed) > lapseGap
@@ -182,7 +193,7 @@
 	}
 	f.after = max(f.after, r.revision)
 	f.pass(ctx, batch{listed: full, returned: returned, entries: r.entries, changes: r.changes})
-	return r.age <= maxAge
+	return r.age <= maxAge, false
 }
 
 // followStore asks the store once and reports whether it answered.
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -22,8 +22,9 @@
 const (
 	// readersPrefix is the prefix of the places, as readersPrefix + region + "/" + number.
 	readersPrefix = "turmericsail/readers/"
-	// readersPerRegion lets a region lose one reader without calls to the store by all others.
-	readersPerRegion = 2
+	// readersPerRegion is the number of places in a region. While a region has no reader, its instances ask
+	// those of other regions.
+	readersPerRegion = 1
 	// placeLife is the life of a place without renewal, above the pauses of a busy machine, and placeRenew
 	// the time between renewals, which cost a tenth of a call.
 	placeLife  = 5 * time.Second
