Add stand-ins of the platform's store and servers and tests on them

A server that sheds although it shows room is now suspected: the test met 503 when the retry budget was used up by the same server. Answers of up to 1 MB to idempotent requests are read before any of it is passed on, so that another server can answer when one breaks off; before, the caller got a broken 200.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -225,6 +226,26 @@
 	}
 }
 
+// buffer reads the start of a good answer to an idempotent request.
+func (a *attempt) buffer() {
+	limit := a.x.e.proto.BufferAnswer
+	if a.fail != failNone || limit == 0 || a.x.body != nil || !a.x.route.IsIdempotent(a.x.r.Method) {
+		return
+	}
+	var start bytes.Buffer
+	n, err := io.CopyN(&start, a.resp.Body, int64(limit))
+	if err != nil && err != io.EOF {
+		a.down = n
+		a.stop(failLost, err)
+		return
+	}
+	body := a.resp.Body
+	a.resp.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(&start, body), body}
+}
+
 func (a *attempt) classifyStatus() {
 	if a.permit == nil {
 		return
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -29,6 +29,9 @@
 	EchoesRequestID bool
 	// NotRun reports whether an answer states that the upstream did not run the request.
 	NotRun func(*http.Response) bool
+	// BufferAnswer is the number of bytes of an idempotent request's answer that are read before any of it
+	// is passed on, so that another upstream can answer when this one breaks off. Zero passes all on at once.
+	BufferAnswer int
 	// RetryFailures sends idempotent requests to another upstream after any 5xx answer, not only after 503.
 	RetryFailures bool
 	// FineRetryAfter writes Retry-After with a fraction of a second.
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -16,6 +16,7 @@
 	var last *attempt
 	for n := 1; ; n++ {
 		a := x.race(header)
+		a.buffer()
 		switch {
 		case a.fail == failNone:
 			return a, nil
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,330 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/platform/platformtest"
+)
+
+const testConfig = `{"version":%d,"base_version":0,"resources":[
+{"type":"routes","metadata":{"name":"read"},"spec":{"host":"a.example","path_prefix":"/read/","kind":"safe","timeout":"2s","target_latency":"400ms","priority":2,"service":"s1","max_attempts":3,"allowed_regions":[]}},
+{"type":"routes","metadata":{"name":"write"},"spec":{"host":"a.example","path_prefix":"/write/","kind":"unsafe","timeout":"2s","target_latency":"400ms","priority":1,"service":"s1","max_attempts":3,"allowed_regions":["north"]}},
+{"type":"routes","metadata":{"name":"away"},"spec":{"host":"a.example","path_prefix":"/away/","kind":"safe","timeout":"2s","target_latency":"400ms","priority":1,"service":"s1","max_attempts":3,"allowed_regions":["south"]}},
+{"type":"services","metadata":{"name":"s1"},"spec":{"health_path":"/health","max_conns":260,"warmup":"3s","warmup_per_s":7.0}},
+{"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout":"3s","idle_timeout":"15s"}}]}`
+
+// deployment is a store, servers and instances on loopback.
+type deployment struct {
+	t       *testing.T
+	store   *platformtest.Store
+	storeAt string
+	servers []*platformtest.Server
+	at      []string
+}
+
+func newDeployment(t *testing.T, servers int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: platformtest.NewStore()}
+	s := httptest.NewServer(d.store)
+	t.Cleanup(s.Close)
+	d.storeAt = s.Listener.Addr().String()
+	d.store.Put("op/config", fmt.Sprintf(testConfig, 3))
+	for i := range servers {
+		server := &platformtest.Server{ID: fmt.Sprintf("i-%d", i), Service: "s1", Zone: "north-a", Slots: 4, Work: 5 * time.Millisecond}
+		listener := httptest.NewServer(server)
+		t.Cleanup(listener.Close)
+		d.servers, d.at = append(d.servers, server), append(d.at, listener.Listener.Addr().String())
+		d.store.Put("servers/"+server.ID, server.Entry(d.at[i], "ready"))
+	}
+	return d
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// instance is a running instance.
+type instance struct {
+	t     *testing.T
+	front string
+	admin string
+	stop  context.CancelFunc
+	done  chan error
+}
+
+func (d *deployment) start(name string) *instance {
+	d.t.Helper()
+	front, admin, peers := freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
+	cfg, err := settings.Parse([]byte(fmt.Sprintf(`{"instance":%q,"region":"north","failure_domain":"north-a","regions":["north"],
+"callers":{"listen":%q,"plaintext":true},"peers":{"listen":%q,"plaintext":true},"admin":{"listen":%q},"shutdown":{"notice":"50ms"},
+"platform":{"store":%q,"domains":{"north-a":"north","south-a":"south"},"bounds":["retry_budget_ratio=0.2","retry_budget_slack=64"]}}`,
+		name, front, peers, admin, d.storeAt)))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	k, err := New(cfg, logr.Discard())
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{t: d.t, front: front, admin: admin, stop: cancel, done: make(chan error, 1)}
+	go func() { i.done <- k.Run(ctx, context.Background()) }()
+	d.t.Cleanup(func() { cancel(); <-i.done; i.done <- nil })
+	eventually(d.t, "the instance is ready", func() bool { return i.ready() == http.StatusOK })
+	return i
+}
+
+func (i *instance) ready() int {
+	resp, err := http.Get("http://" + i.admin + "/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("did not happen within 10s: %s", what)
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+var requests int
+
+func (i *instance) do(method, path, body string) reply {
+	i.t.Helper()
+	requests++
+	req, err := http.NewRequest(method, "http://"+i.front+path, strings.NewReader(body))
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("Request-Id", fmt.Sprintf("request-%d", requests))
+	req.Header.Set("Request-Deadline", "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(data), err}
+}
+
+func (d *deployment) behave(b platformtest.Behaviour) {
+	for _, s := range d.servers {
+		s.SetBehaviour(b)
+	}
+}
+
+func (d *deployment) mostRuns() int {
+	most := 0
+	for _, s := range d.servers {
+		for _, n := range s.Runs() {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// Guards against a request or an answer that is changed on its way, and against
+// missing headers towards the server.
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	r := d.start("e1").do("POST", "/write/a%2Fb?x=1&y=%20", "the body")
+	is.NoErr(r.err)
+	is.Equal(r.status, 200)
+	is.Equal(r.body, "i-0 POST /write/a%2Fb?x=1&y=%20 the body")
+	is.Equal(r.header.Get("Response-Signature"), "signed-by-i-0")
+	h := d.servers[0].Headers()[0]
+	is.Equal(h.Get("Expect-Instance"), "i-0")
+	is.Equal(h.Get("Request-Id"), r.header.Get("Request-Id"))
+	left, err := time.ParseDuration(h.Get("Request-Deadline") + "ms")
+	is.NoErr(err)
+	is.True(left > time.Second && left <= 2*time.Second) // the route's timeout is shorter than the caller's deadline
+}
+
+// Guards against a success that is not the server's whole answer to this request,
+// and against a second run of a request that may have run.
+func TestDoubtfulAnswersAreNoSuccess(t *testing.T) {
+	for name, b := range map[string]platformtest.Behaviour{
+		"dropped": {Drop: true}, "unsigned": {Unsigned: true}, "another request's": {WrongID: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 3)
+			i := d.start("e1")
+			d.behave(b)
+			r := i.do("POST", "/write/x", "order")
+			is.NoErr(r.err)
+			is.Equal(r.status, http.StatusBadGateway) // not a status that says it did not run
+			is.Equal(d.mostRuns(), 1)
+			total := 0
+			for _, s := range d.servers {
+				total += len(s.Runs())
+			}
+			is.Equal(total, 1)
+		})
+	}
+}
+
+// Guards against a truncated answer that looks complete to the caller.
+func TestCutAnswerIsNotComplete(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	i := d.start("e1")
+	d.behave(platformtest.Behaviour{Cut: true})
+	r := i.do("POST", "/write/x", "order")
+	is.True(r.err != nil || r.status >= 500)
+	r = i.do("GET", "/read/x", "")
+	is.NoErr(r.err) // an idempotent request gets a plain failure
+	is.Equal(r.status, http.StatusBadGateway)
+}
+
+// Guards against lookups that fail although another server could answer them.
+func TestIdempotentRequestsMoveOn(t *testing.T) {
+	for name, b := range map[string]platformtest.Behaviour{
+		"fails": {Fail: true}, "drops": {Drop: true}, "sheds": {Shed: true}, "cuts": {Cut: true},
+		"address of another": {Impostor: "i-9"}, "unsigned": {Unsigned: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDeployment(t, 2)
+			i := d.start("e1")
+			for range 20 { // fills the retry budget
+				is.Equal(i.do("GET", "/read/x", "").status, 200)
+			}
+			d.servers[0].SetBehaviour(b)
+			for range 5 {
+				r := i.do("GET", "/read/x", "")
+				is.NoErr(r.err)
+				is.Equal(r.status, 200)
+				is.True(strings.HasPrefix(r.body, "i-1 "))
+			}
+		})
+	}
+}
+
+// Guards against a refusal that holds the caller, says nothing about when to come
+// back, or says not-run after a run.
+func TestShedRequestIsRefusedTruthfully(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	i := d.start("e1")
+	d.behave(platformtest.Behaviour{Shed: true})
+	start := time.Now()
+	r := i.do("POST", "/write/x", "order")
+	is.Equal(r.status, http.StatusServiceUnavailable)
+	is.True(r.header.Get("Retry-After") != "")
+	is.Equal(d.mostRuns(), 0)
+	is.True(time.Since(start) < time.Second)
+}
+
+// bound is the time within which a change of the operator or of a server must be in force.
+const bound = 2 * time.Second
+
+// Guards against new requests for servers that leave, a zone that is taken out, a
+// dropped route, and a 404 from an instance that knows no configuration.
+func TestOperatorChanges(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 2)
+	i := d.start("e1")
+	d.store.Put("servers/i-0", d.servers[0].Entry(d.at[0], "draining"))
+	time.Sleep(bound)
+	for range 10 {
+		is.True(strings.HasPrefix(i.do("GET", "/read/x", "").body, "i-1 "))
+	}
+	is.Equal(i.do("GET", "/other/x", "").status, http.StatusNotFound)
+	is.Equal(i.do("GET", "/read", "").status, http.StatusNotFound) // every prefix ends with a slash
+	is.Equal(i.do("GET", "/away/x", "").status, http.StatusServiceUnavailable)
+	d.store.Put("op/evacuate/north-a", "{}")
+	time.Sleep(bound)
+	is.Equal(i.do("GET", "/read/x", "").status, http.StatusServiceUnavailable)
+	d.store.Remove("op/evacuate/north-a")
+	d.store.Put("op/config", strings.Replace(fmt.Sprintf(testConfig, 9), "/read/", "/lookup/", 1))
+	time.Sleep(bound)
+	is.Equal(i.do("GET", "/read/x", "").status, http.StatusNotFound)
+	is.Equal(i.do("GET", "/lookup/x", "").status, 200)
+}
+
+// Guards against an instance that forgets its tables while the store is away.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	old := d.start("e1")
+	d.store.SetFaults(platformtest.Faults{Status: http.StatusServiceUnavailable})
+	is.Equal(old.do("GET", "/read/x", "").status, 200)
+	is.Equal(old.ready(), http.StatusOK)
+}
+
+// Guards against a shut-down that cuts a running request or stays ready.
+func TestLeavingFinishesRequests(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.servers[0].Work = 400 * time.Millisecond
+	i := d.start("e1")
+	got := make(chan reply, 1)
+	go func() { got <- i.do("POST", "/write/x", "order") }()
+	eventually(t, "the request runs", func() bool { return len(d.servers[0].Runs()) == 1 })
+	i.stop()
+	eventually(t, "the instance is not ready", func() bool { return i.ready() != http.StatusOK })
+	r := <-got
+	is.NoErr(r.err)
+	is.Equal(r.status, 200)
+}
+
+// Guards against a store that every instance watches by itself: the price of its
+// calls would grow with the deployment.
+func TestInstancesShareAReader(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	var all []*instance
+	for n := range 4 {
+		all = append(all, d.start(fmt.Sprintf("e%d", n)))
+	}
+	eventually(t, "a reader has its place", func() bool { return len(d.store.Keys("turmericsail/readers/")) == 1 })
+	time.Sleep(1500 * time.Millisecond) // the last watches of the others end
+	before := d.store.Calls("/v1/kv-watch")
+	time.Sleep(3 * time.Second)
+	is.True(d.store.Calls("/v1/kv-watch")-before <= 5) // one reader, one call a second
+	d.store.Put("op/config", strings.Replace(fmt.Sprintf(testConfig, 9), "/read/", "/lookup/", 1))
+	time.Sleep(bound)
+	for _, i := range all {
+		is.Equal(i.do("GET", "/lookup/x", "").status, 200)
+	}
+}
+
+func TestMain(m *testing.M) {
+	http.DefaultTransport.(*http.Transport).DisableKeepAlives = true
+	os.Exit(m.Run())
+}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -59,8 +60,16 @@
 
 // Done implements entry.Permit.
 func (p permit) Done(r entry.Result) {
-	failed := r.Ending == entry.EndLost || r.Ending == entry.EndLate || r.Status >= 500 && r.Ending == entry.EndAnswered
-	p.Choice.Done(failed, r.Ending == entry.EndAnswered)
+	switch {
+	case r.Ending == entry.EndLost, r.Ending == entry.EndLate, r.Ending == entry.EndAnswered && r.Status >= http.StatusInternalServerError:
+		p.Choice.Done(sampled.Failed)
+	case r.Ending == entry.EndNotRun:
+		p.Choice.Done(sampled.Shed)
+	case r.Ending == entry.EndAnswered:
+		p.Choice.Done(sampled.Answered)
+	default:
+		p.Choice.Done(sampled.Unknown)
+	}
 }
 
 const (
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -243,8 +243,19 @@
 	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading}
 }
 
-// Done gives the choice back. failed is set when the upstream failed the request.
-func (c *Choice) Done(failed, answered bool) {
+// Ending is what a request showed about its upstream.
+type Ending int
+
+// Endings.
+const (
+	Unknown  Ending = iota // nothing, because the caller left or another copy won
+	Answered               // a good answer
+	Failed                 // a failure, or no answer
+	Shed                   // not run: refused, or not reached
+)
+
+// Done gives the choice back.
+func (c *Choice) Done(e Ending) {
 	c.once.Do(func() {
 		p := c.policy
 		p.mu.Lock()
@@ -252,10 +263,12 @@
 			delete(p.pending, c.Upstream.ID)
 		}
 		p.mu.Unlock()
-		switch {
-		case failed:
+		switch e {
+		case Failed:
 			p.suspects.failed(c.Upstream.ID, 1, time.Now())
-		case answered:
+		case Shed:
+			p.suspects.failed(c.Upstream.ID, shedWeight, time.Now())
+		case Answered:
 			p.suspects.answered(c.Upstream.ID, time.Now())
 		}
 	})
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -223,7 +223,7 @@
 	}
 	time.Sleep(time.Millisecond)
 	ok := w.servers[c.Upstream.ID].run(ctx, time.Now(), work)
-	c.Done(!ok, ok)
+	c.Done(map[bool]Ending{true: Answered, false: Failed}[ok])
 	switch {
 	case !ok:
 		return func(r *result) *int { return &r.failed }
--- a/pkg/placement/sampled/suspicion.go
+++ b/pkg/placement/sampled/suspicion.go
@@ -15,6 +15,10 @@
 // a row makes a suspect.
 const silentWeight = 0.4
 
+// shedWeight is the suspicion after a request that was not run although the reading
+// showed room: enough to ask others first for a second or so.
+const shedWeight = 0.7
+
 // suspicions remembers which upstreams failed. It answers upstreams that fail
 // requests while their health answers are good.
 type suspicions struct {
