Test that a lost reader of the store delays nobody

The tests play 12 and 40 instances over the in-memory network with the reader killed, frozen, cut from the store, turned away by it and cut from the instances.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -152,7 +152,7 @@
 // followReader asks a reader once, and another one when the first failed at once.
 // It reports false when the store must be asked instead.
 func (f *Follower) followReader(ctx context.Context) bool {
-	for start := time.Now(); time.Since(start) < quickFailure; {
+	for start := time.Now(); ctx.Err() == nil && time.Since(start) < quickFailure; {
 		if f.reading.Load() || !f.listed {
 			return false
 		}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -44,6 +44,7 @@
 	deaf    bool // waiting watches miss changes
 	woken   chan struct{}
 	calls   int
+	leases  []*fakeLease
 }
 
 func newFakeLog() *fakeLog {
--- /dev/null
+++ b/internal/follow/relay_test.go
@@ -0,0 +1,285 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/peer"
+	"github.com/turmericsail/turmericsail/pkg/peer/peertest"
+	"github.com/turmericsail/turmericsail/pkg/store"
+)
+
+// storePath is one instance's way to the store. It may be refused or silent.
+type storePath struct {
+	*fakeLog
+	refused, silent atomic.Bool
+}
+
+func (p *storePath) blocked(ctx context.Context) error {
+	if p.silent.Load() {
+		<-ctx.Done()
+	}
+	if p.refused.Load() || p.silent.Load() || ctx.Err() != nil {
+		return fault.New(fault.Unavailable, "cut off", "wait")
+	}
+	return nil
+}
+
+// callBound is the timeout of the real client.
+const callBound = 2 * time.Second
+
+func (p *storePath) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callBound)
+	defer cancel()
+	if err := p.blocked(ctx); err != nil {
+		return nil, 0, err
+	}
+	return p.fakeLog.List(ctx, prefix)
+}
+
+func (p *storePath) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callBound)
+	defer cancel()
+	if err := p.blocked(ctx); err != nil {
+		return nil, 0, err
+	}
+	changes, next, err := p.fakeLog.Changes(ctx, prefix, after, wait)
+	if blocked := p.blocked(ctx); blocked != nil {
+		return nil, 0, blocked
+	}
+	return changes, next, err
+}
+
+func (p *storePath) Hold(ctx context.Context, key string, value []byte, ttl time.Duration) (store.LeaseID, error) {
+	if err := p.blocked(ctx); err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	_, taken := p.entries[key]
+	p.mu.Unlock()
+	if taken {
+		return "", fault.New(fault.Conflict, "taken", "read it")
+	}
+	p.put(key, string(value))
+	p.mu.Lock()
+	id := p.lease(key, ttl)
+	p.mu.Unlock()
+	return id, nil
+}
+
+// lease starts a lease; a timer removes the key unless it is renewed.
+func (l *fakeLog) lease(key string, ttl time.Duration) store.LeaseID {
+	id := store.LeaseID(strconv.Itoa(len(l.leases) + 1))
+	l.leases = append(l.leases, &fakeLease{ttl: ttl, timer: time.AfterFunc(ttl, func() { l.remove(key) })})
+	return id
+}
+
+type fakeLease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+func (p *storePath) Renew(ctx context.Context, id store.LeaseID) error {
+	if err := p.blocked(ctx); err != nil {
+		return err
+	}
+	n, _ := strconv.Atoi(string(id))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.leases[n-1].timer.Stop() {
+		return fault.New(fault.NotFound, "lapsed", "take it again")
+	}
+	p.leases[n-1].timer.Reset(p.leases[n-1].ttl)
+	return nil
+}
+
+func (p *storePath) Release(_ context.Context, id store.LeaseID) error {
+	n, _ := strconv.Atoi(string(id))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leases[n-1].timer.Reset(0)
+	return nil
+}
+
+// fleet is a number of followers in two regions.
+type fleet struct {
+	log       *fakeLog
+	net       *peertest.Network
+	followers []*Follower
+	paths     []*storePath
+	ids       []peer.InstanceID
+	stops     []context.CancelFunc
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	fl := &fleet{log: newFakeLog(), net: peertest.New(1)}
+	fl.log.put("config", "config x")
+	fl.log.put("u1", "up p ready")
+	fl.log.put("u2", "up p ready")
+	t.Cleanup(func() {
+		for _, id := range fl.ids {
+			fl.net.Resume(id)
+		}
+		time.Sleep(time.Minute) // calls that are on their way end
+	})
+	for i := range size {
+		id := peer.InstanceID(fmt.Sprintf("e%d/a", i))
+		node := fl.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i))
+		path := &storePath{fakeLog: fl.log}
+		self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: []string{"north", "south"}[i%2]}}
+		f := New(Parts{Source: path, Codec: plainCodec{}, Holder: path, Peers: node, Self: self}, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() { _ = f.Run(ctx); close(done) }()
+		t.Cleanup(func() { cancel(); <-done })
+		fl.followers, fl.paths, fl.ids, fl.stops = append(fl.followers, f), append(fl.paths, path), append(fl.ids, id), append(fl.stops, cancel)
+	}
+	time.Sleep(8 * time.Second)
+	return fl
+}
+
+// reader returns the number of an instance that reads the store for others.
+func (fl *fleet) reader(t *testing.T) int {
+	for i, f := range fl.followers {
+		if f.reading.Load() {
+			return i
+		}
+	}
+	t.Fatal("no reader")
+	return 0
+}
+
+func (fl *fleet) versions(except int) []uint64 {
+	var out []uint64
+	for i, f := range fl.followers {
+		if i != except {
+			out = append(out, f.Snapshot().Tables.Revision)
+		}
+	}
+	return out
+}
+
+func (fl *fleet) places() (n int) {
+	fl.log.mu.Lock()
+	defer fl.log.mu.Unlock()
+	for key := range fl.log.entries {
+		if strings.HasPrefix(key, readersPrefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against calls to the store that grow with the number of instances.
+func TestReadersSaveCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleet(t, 40)
+		is.Equal(fl.places(), 2)
+		before := fl.log.made()
+		time.Sleep(10 * time.Second)
+		is.True(fl.log.made()-before <= 2*11) // one call a second and reader
+		fl.log.put("config", "config xx")
+		time.Sleep(time.Second)
+		is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+	})
+}
+
+// Guards against instances that learn of a change too late because the reader
+// that they ask has failed: they are in touch with the store and are bound by its
+// acknowledgement, whatever happened to the reader.
+func TestLostReaderDelaysNobody(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, fail := range map[string]func(fl *fleet, reader int){
+		"killed":             func(fl *fleet, r int) { fl.net.Crash(fl.ids[r]); fl.stops[r]() },
+		"frozen":             func(fl *fleet, r int) { fl.net.Pause(fl.ids[r]); fl.paths[r].silent.Store(true) },
+		"cut from the store": func(fl *fleet, r int) { fl.paths[r].silent.Store(true) },
+		"turned away":        func(fl *fleet, r int) { fl.paths[r].refused.Store(true) },
+		"cut from instances": func(fl *fleet, r int) {
+			fl.net.SetCut(func(from, to peer.InstanceID) bool { return from == fl.ids[r] || to == fl.ids[r] })
+		},
+	} {
+		for _, wait := range []time.Duration{0, 450 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s before a change", name, wait), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					fl := newFleet(t, 12)
+					r := fl.reader(t)
+					fail(fl, r)
+					time.Sleep(wait)
+					fl.log.put("config", "config xx")
+					time.Sleep(bound)
+					is.True(!slices.ContainsFunc(fl.versions(r), func(v uint64) bool { return v != 2 }))
+					time.Sleep(placeLife + claimSpread + 2*placeRenew)
+					is.Equal(fl.places(), 2) // another instance has the place
+				})
+			})
+		}
+	}
+}
+
+// Guards against instances that drop living upstreams because a reader passed on
+// the removals of an outage without the outage.
+func TestOutageIsSeenThroughReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleet(t, 12)
+		fl.log.set(func() { fl.log.down = true })
+		time.Sleep(5 * time.Second)
+		fl.log.remove("u1")
+		fl.log.remove("u2")
+		fl.log.set(func() { fl.log.down = false })
+		time.Sleep(1800 * time.Millisecond)
+		for _, f := range fl.followers {
+			is.Equal(upstreams(f), []string{"u1", "u2"})
+		}
+		fl.log.put("u1", "up p ready")
+		time.Sleep(5 * time.Second)
+		for _, f := range fl.followers {
+			is.Equal(upstreams(f), []string{"u1"})
+		}
+	})
+}
+
+// Guards against answers that lose rows when they are compressed.
+func TestPack(t *testing.T) {
+	is := is.New(t)
+	fl := newTail()
+	var entries []store.Entry
+	for i := range 100 {
+		entries = append(entries, store.Entry{Key: fmt.Sprint(i), Value: []byte(strings.Repeat("v", 100)), Revision: uint64(i + 1)})
+	}
+	fl.reset(entries, 100, time.Now())
+	f := &Follower{tail: fl}
+	reply, err := f.serve(context.Background(), "a", []byte{0x18, 1}) // full = true
+	is.NoErr(err)
+	packed := reply.(interface{ GetPacked() []byte }).GetPacked()
+	is.True(len(packed) > 0 && len(packed) < 2000)
+}
+
+// Guards against changes of one transaction, which share a revision, of which only the first is kept.
+func TestTailKeepsChangesOfOneRevision(t *testing.T) {
+	is := is.New(t)
+	tl := newTail()
+	tl.reset(nil, 5, time.Now())
+	two := []store.Change{{Entry: store.Entry{Key: "a", Revision: 6}}, {Entry: store.Entry{Key: "b", Revision: 6}}}
+	tl.apply(two, 6, time.Now())
+	tl.apply(two, 6, time.Now()) // told twice
+	changes, revision, _, gone := tl.wait(context.Background(), 5, time.Millisecond)
+	is.True(!gone)
+	is.Equal(len(changes), 2)
+	is.Equal(revision, uint64(6))
+	_, _, _, gone = tl.wait(context.Background(), 4, time.Millisecond)
+	is.True(gone)
+}
