Log without blocking, reload settings, explain a request from logs

Lines about usual events are sampled above 250 a second, others never; a blocked output drops lines, which are counted and reported. turmericsail explain tells a request's story from the logs of many instances.

--- /dev/null
+++ b/internal/cli/explain_test.go
@@ -0,0 +1,51 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/fault"
+)
+
+const exampleLog = `noise that is not JSON
+e1 {"time":"2026-01-01T10:00:00Z","level":"INFO","msg":"changed","key":"servers/i-1","deleted":true}
+e1 {"time":"2026-01-01T10:00:00.1Z","level":"INFO","msg":"changed","key":"servers/i-2","deleted":true}
+e1 {"time":"2026-01-01T09:00:00Z","level":"INFO","msg":"store lost"}
+e2 {"time":"2026-01-01T10:00:00Z","level":"INFO","msg":"store lost"}
+e1 {"time":"2026-01-01T10:00:03Z","level":"INFO","msg":"request","request":"abc","status":502}
+e1 {"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"attempt","request":"abc","upstream":"i-1","error":"connection reset"}
+e1 {"time":"2026-01-01T10:00:02Z","level":"INFO","msg":"attempt","request":"abcd","upstream":"i-3"}
+`
+
+// Guards against a story that mixes requests, leaves out what the instance
+// believed, or is told out of order.
+func TestExplain(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "log")
+	is.NoErr(os.WriteFile(path, []byte(exampleLog), 0o600))
+	var out, errs bytes.Buffer
+	is.Equal(Main(context.Background(), []string{"explain", "abc", path}, &out, &errs), ExitOK)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 3)
+	is.True(strings.Contains(lines[0], "e1 changed: deleted=true key=servers/i-1"))
+	is.True(strings.Contains(lines[1], "attempt: error=connection reset upstream=i-1"))
+	is.True(strings.Contains(lines[2], "request: status=502"))
+	is.Equal(Main(context.Background(), []string{"explain", "unknown", path}, &out, &errs), ExitNotFound)
+	is.Equal(Main(context.Background(), []string{"explain", "-o", "xml", "abc", path}, &out, &errs), ExitInvalid)
+}
+
+// Guards against a command that keeps a whole log in memory.
+func TestExplainBoundsWhatItKeeps(t *testing.T) {
+	is := is.New(t)
+	line := `{"time":"2026-01-01T10:00:00Z","msg":"store lost"}` + "\n"
+	s := &story{id: "abc"}
+	is.NoErr(s.read("e1", strings.NewReader(strings.Repeat(line, 3*maxBeliefs))))
+	is.True(len(s.beliefs) <= maxBeliefs)
+	is.True(fault.Is(s.print(&bytes.Buffer{}, "text"), fault.NotFound))
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
 	"github.com/turmericsail/turmericsail/internal/daemon"
@@ -35,7 +36,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), cfg)
+			return serve(cmd.Context(), path, cfg)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file")
@@ -43,7 +44,7 @@
 	return cmd
 }
 
-func serve(parent context.Context, cfg settings.Settings) error {
+func serve(parent context.Context, path string, cfg settings.Settings) error {
 	// net/http quotes unexpected bytes of upstreams, which may be a body, on the standard logger.
 	stdlog.SetOutput(io.Discard)
 	tuneGC(cfg)
@@ -51,15 +52,34 @@
 	if err != nil {
 		return err
 	}
-	return runUntilSignal(parent, k, cfg.Shutdown.Grace.Std())
+	defer k.closeLog()
+	k.log.Info("start", "instance", cfg.Instance, "region", cfg.Region, "failure_domain", cfg.FailureDomain,
+		"callers", cfg.Callers.Listen, "admin", cfg.Admin.Listen, "settings", path)
+	if cfg.Platform != nil {
+		go watchSettings(parent, path, k)
+	}
+	defer func() { k.log.Info("stop", "instance", cfg.Instance) }()
+	return runUntilSignal(parent, k.Kernel, cfg.Shutdown.Grace.Std())
+}
+
+// process is an instance with its log.
+type process struct {
+	*kernel.Kernel
+	log      logr.Logger
+	closeLog func()
 }
 
 // assemble returns the services of an instance, on the platform or with peers of its own.
-func assemble(cfg settings.Settings) (*kernel.Kernel, error) {
-	if cfg.Platform != nil {
-		return gateway.New(cfg, logging.New(os.Stdout, cfg.Log.Debug))
+func assemble(cfg settings.Settings) (process, error) {
+	if cfg.Platform == nil {
+		log := logging.New(os.Stderr, cfg.Log.Debug)
+		k, err := daemon.New(cfg, log)
+		return process{k, log, func() {}}, err
 	}
-	return daemon.New(cfg, logging.New(os.Stderr, cfg.Log.Debug))
+	out := logging.NewAsync(os.Stdout)
+	log := logging.NewSampled(out)
+	k, err := gateway.New(cfg, log)
+	return process{k, log, out.Close}, err
 }
 
 // runUntilSignal shuts the kernel down on the first SIGTERM or interrupt and ends at once on the second.
@@ -70,7 +90,6 @@
 	defer abort()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	signal.Ignore(syscall.SIGHUP)
 	defer signal.Stop(signals)
 	go func() {
 		<-signals
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -24,6 +24,8 @@
 	Observers  []Observer
 	// Protocol names the headers; the default is turmericsail's own.
 	Protocol *Protocol
+	// RoutineVerbosity is the verbosity of log lines about requests that were answered well.
+	RoutineVerbosity int
 	// Direct sends requests from outside their home regions straight to upstreams inside, without Relay.
 	Direct bool
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	snapshots Snapshots
 	ports     Ports
 	proto     Protocol
+	routine   int // verbosity of lines about good answers
 	log       logr.Logger
 	timing    timing
 	metrics   *telemetry
@@ -80,7 +81,7 @@
 // New returns an entry that is not yet listening.
 func New(cfg settings.Settings, snapshots Snapshots, ports Ports, log logr.Logger) *Entry {
 	ports.setDefaults()
-	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, proto: *ports.Protocol, log: log, timing: defaultTiming, metrics: newTelemetry(), patience: newPatience()}
+	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, proto: *ports.Protocol, routine: ports.RoutineVerbosity, log: log, timing: defaultTiming, metrics: newTelemetry(), patience: newPatience()}
 	e.conns = newConnPools(newDialer(maxAnswerHeader), cfg.Limits.MaxInstances)
 	e.relays = newRelayDialer(maxAnswerHeader)
 	e.streams = newStreamListener()
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -154,7 +154,11 @@
 	if a.err != nil {
 		reason = a.err.Error()
 	}
-	x.e.log.Info("attempt", "request", x.id, "route", x.route.Name, "pool", x.pool.Name, "upstream", a.upstream.ID, "address", a.upstream.Address,
+	log := x.e.log
+	if status >= 200 && status < 300 {
+		log = log.V(x.e.routine)
+	}
+	log.Info("attempt", "request", x.id, "route", x.route.Name, "pool", x.pool.Name, "upstream", a.upstream.ID, "address", a.upstream.Address,
 		"reused", a.conn.reused, "sent", a.sent, "status", status, "took", time.Since(a.sentAt).String(), "error", reason)
 }
 
@@ -162,7 +166,11 @@
 	x.mu.Lock()
 	attempts := x.report.attempts
 	x.mu.Unlock()
-	x.e.log.Info("request", "request", x.id, "tenant", x.tenant, "route", x.route.Name, "upstream", x.report.upstream,
+	log := x.e.log
+	if x.report.refusal == "" && !x.report.abort && x.report.status < 300 {
+		log = log.V(x.e.routine)
+	}
+	log.Info("request", "request", x.id, "tenant", x.tenant, "route", x.route.Name, "upstream", x.report.upstream,
 		"status", x.report.status, "outcome", x.report.outcome, "refusal", x.report.refusal, "aborted", x.report.abort,
 		"attempts", attempts, "duration", took.String(), "bytes_up", x.report.up, "bytes_down", x.report.down)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,6 +14,7 @@
 	"github.com/turmericsail/turmericsail/internal/admin"
 	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
 	"github.com/turmericsail/turmericsail/platform"
 )
@@ -50,12 +52,37 @@
 	return k, nil
 }
 
+// Reload applies changed settings to a running instance. Only the bounds can change; what else
+// differs takes effect at the next start and is logged.
+func Reload(k *kernel.Kernel, cfg settings.Settings, log logr.Logger) error {
+	c, err := kernel.Lookup[*callers](k, EntryHTTP)
+	if err != nil {
+		return err
+	}
+	if cfg.Platform == nil {
+		return fault.New(fault.Invalid, "the settings no longer name the platform", "set $.platform, or start the instance anew")
+	}
+	bounds, problems := platform.ParseBounds(cfg.Platform.Bounds)
+	if err := problems.Err(); err != nil {
+		return err
+	}
+	c.budgets.set(bounds)
+	old := c.cfg
+	old.Platform = nil
+	next := cfg
+	next.Platform = nil
+	log.Info("settings reloaded", "bounds", bounds, "restart_needed", !reflect.DeepEqual(old, next))
+	return nil
+}
+
 // callers is the data path with its ports.
 type callers struct {
 	*entry.Entry
 	cfg    settings.Settings
 	bounds platform.Bounds
 	log    logr.Logger
+
+	budgets *budgets
 }
 
 var (
@@ -71,9 +98,10 @@
 		return err
 	}
 	extra := newBudgets(c.bounds, c.cfg.Limits.MaxInstances)
+	c.budgets = extra
 	place := &placer{}
 	c.Entry = entry.New(c.cfg, tables, entry.Ports{
-		Placement: place, Retries: extra, Hedger: extra, Protocol: platform.Protocol(), Direct: true,
+		Placement: place, Retries: extra, Hedger: extra, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1,
 	}, c.log)
 	place.provision(c.cfg, c.Entry, c.log)
 	return nil
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -86,10 +86,11 @@
 // budgets bounds further attempts to a share of the requests of each pool. Every
 // instance keeps the share by itself, so the sum over all instances keeps it too.
 type budgets struct {
-	percent float64
-	burst   int
-	mu      sync.Mutex
-	pools   map[string]*retry.Budget
+	instances int
+	mu        sync.Mutex
+	percent   float64
+	burst     int
+	pools     map[string]*retry.Budget
 }
 
 var (
@@ -98,7 +99,18 @@
 )
 
 func newBudgets(b platform.Bounds, instances int) *budgets {
-	return &budgets{percent: budgetShare * b.RetryPercent, burst: max(b.RetryReserve/max(instances, 1), 1), pools: map[string]*retry.Budget{}}
+	extra := &budgets{instances: instances}
+	extra.set(b)
+	return extra
+}
+
+// set replaces the bounds. The budgets start anew, which makes them smaller for a moment.
+func (b *budgets) set(bounds platform.Bounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.percent = budgetShare * bounds.RetryPercent
+	b.burst = max(bounds.RetryReserve/max(b.instances, 1), 1)
+	b.pools = map[string]*retry.Budget{}
 }
 
 func (b *budgets) of(pool string) *retry.Budget {
--- /dev/null
+++ b/internal/logging/async_test.go
@@ -0,0 +1,65 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// blocked is an output that takes nothing until it is opened.
+type blocked struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.gate
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *blocked) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// Guards against traffic that waits for a log reader, and against lines that are lost without a word.
+func TestBlockedOutputDropsAndReports(t *testing.T) {
+	is := is.New(t)
+	out := &blocked{gate: make(chan struct{})}
+	a := NewAsync(out)
+	log := NewSampled(a)
+	start := time.Now()
+	for range 2 * queueLines {
+		log.Info("refused")
+	}
+	is.True(time.Since(start) < 5*time.Second) // nothing waited for the output
+	close(out.gate)
+	a.Close()
+	is.True(strings.Contains(out.String(), `"msg":"log lines left out","dropped":`))
+}
+
+// Guards against a flood of usual lines, and against failures that are sampled away with them.
+func TestOnlyRoutineLinesAreSampled(t *testing.T) {
+	is := is.New(t)
+	out := &blocked{gate: make(chan struct{})}
+	close(out.gate)
+	a := NewAsync(out)
+	log := NewSampled(a).WithName("entry").WithValues("instance", "e1")
+	for range 1500 {
+		log.V(1).Info("answered")
+		log.Info("refused")
+	}
+	a.Close()
+	is.Equal(strings.Count(out.String(), `"refused"`), 1500)
+	answered := strings.Count(out.String(), `"answered"`)
+	is.True(answered >= routineBurst && answered < 1500)
+	is.True(!strings.Contains(out.String(), "%!"))
+}
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -109,7 +109,7 @@
 		switch {
 		case v == take:
 			if c := p.claim(b); c != nil {
-				p.log.Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
+				p.log.V(1).Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
 					"waited", time.Since(r.Start).String(), "running", b.reading.Running, "waiting", b.reading.Waiting,
 					"slots", b.reading.Slots, "slowdown", b.reading.Slowdown, "suspicion", b.suspicion, "cost", b.cost.String())
 				return c, nil
