--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -59,6 +59,10 @@
 	Holder store.Holder
 	Peers  peer.Transport
 	Self   Self
+	// Seeds are addresses of other instances, which an instance that starts asks while the store does not answer.
+	Seeds []string
+	// Dial finds out which instance answers at an address.
+	Dial func(ctx context.Context, address string) (peer.InstanceID, error)
 }
 
 // Follower publishes snapshots of the store.
@@ -69,6 +73,8 @@
 	holder  store.Holder
 	peers   peer.Transport
 	self    Self
+	seeds   []string
+	dial    func(ctx context.Context, address string) (peer.InstanceID, error)
 	tail    *tail
 	readers atomic.Pointer[map[string]Reader]
 	reading atomic.Bool // this instance holds a place
@@ -93,7 +99,7 @@
 // New returns a follower without tables.
 func New(p Parts, log logr.Logger) *Follower {
 	f := &Follower{
-		source: p.Source, codec: p.Codec, holder: p.Holder, peers: p.Peers, self: p.Self, log: log,
+		source: p.Source, codec: p.Codec, holder: p.Holder, peers: p.Peers, self: p.Self, seeds: p.Seeds, dial: p.Dial, log: log,
 		tail: newTail(), batches: make(chan batch), avoid: map[peer.InstanceID]time.Time{},
 	}
 	f.current.Store(&control.Snapshot{})
@@ -143,6 +149,9 @@
 			pause = retryMin
 			continue
 		}
+		if !f.listed && f.followSeeds(ctx) {
+			continue
+		}
 		sleep(ctx, jitter(pause))
 		pause = min(2*pause, retryMax)
 	}
@@ -196,6 +205,36 @@
 	return r.age <= maxAge, false
 }
 
+// followSeeds takes the state of another instance when the store does not answer
+// at the start, so that an instance that is restarted during an outage can serve.
+func (f *Follower) followSeeds(ctx context.Context) bool {
+	if f.peers == nil || f.dial == nil {
+		return false
+	}
+	for _, address := range f.seeds {
+		if address == f.self.Address {
+			continue
+		}
+		dialing, cancel := context.WithTimeout(ctx, relayWait)
+		id, err := f.dial(dialing, address)
+		cancel()
+		var r relayed
+		if err == nil {
+			r, err = f.ask(ctx, id, 0, true)
+		}
+		if err != nil {
+			f.log.V(1).Info("seed not reached", "address", address, "error", err.Error())
+			continue
+		}
+		f.log.Info("state taken from a seed", "address", address, "revision", r.revision, "age", r.age.String())
+		f.tail.reset(r.entries, r.revision, time.Now().Add(-r.age))
+		f.after, f.listed = max(f.after, r.revision), true
+		f.pass(ctx, batch{listed: true, returned: true, entries: r.entries})
+		return true
+	}
+	return false
+}
+
 // followStore asks the store once and reports whether it answered.
 func (f *Follower) followStore(ctx context.Context) bool {
 	b := batch{returned: f.failing, listed: !f.listed}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -67,17 +68,22 @@
 	t     *testing.T
 	front string
 	admin string
+	peers string
 	stop  context.CancelFunc
 	done  chan error
 }
 
-func (d *deployment) start(name string) *instance {
+func (d *deployment) start(name string, seeds ...string) *instance {
 	d.t.Helper()
 	front, admin, peers := freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
+	list, err := json.Marshal(append([]string{}, seeds...))
+	if err != nil {
+		d.t.Fatal(err)
+	}
 	cfg, err := settings.Parse([]byte(fmt.Sprintf(`{"instance":%q,"region":"north","failure_domain":"north-a","regions":["north"],
-"callers":{"listen":%q,"plaintext":true},"peers":{"listen":%q,"plaintext":true},"admin":{"listen":%q},"shutdown":{"notice":"50ms"},
+"callers":{"listen":%q,"plaintext":true},"peers":{"listen":%q,"plaintext":true,"seeds":%s},"admin":{"listen":%q},"shutdown":{"notice":"50ms"},
 "platform":{"store":%q,"domains":{"north-a":"north","south-a":"south"},"bounds":["retry_budget_ratio=0.2","retry_budget_slack=64"]}}`,
-		name, front, peers, admin, d.storeAt)))
+		name, front, peers, list, admin, d.storeAt)))
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -86,7 +92,7 @@
 		d.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	i := &instance{t: d.t, front: front, admin: admin, stop: cancel, done: make(chan error, 1)}
+	i := &instance{t: d.t, front: front, admin: admin, peers: peers, stop: cancel, done: make(chan error, 1)}
 	go func() { i.done <- k.Run(ctx, context.Background()) }()
 	d.t.Cleanup(func() { cancel(); <-i.done; i.done <- nil })
 	eventually(d.t, "the instance is ready", func() bool { return i.ready() == http.StatusOK })
@@ -277,7 +283,8 @@
 	is.Equal(i.do("GET", "/lookup/x", "").status, 200)
 }
 
-// Guards against an instance that forgets its tables while the store is away.
+// Guards against an instance that forgets its tables while the store is away, and
+// against one that is started then and cannot serve although others could tell it all.
 func TestStoreOutage(t *testing.T) {
 	is := is.New(t)
 	d := newDeployment(t, 1)
@@ -285,6 +292,8 @@
 	d.store.SetFaults(platformtest.Faults{Status: http.StatusServiceUnavailable})
 	is.Equal(old.do("GET", "/read/x", "").status, 200)
 	is.Equal(old.ready(), http.StatusOK)
+	fresh := d.start("e2", "127.0.0.1:1", old.peers) // the first seed is down
+	is.Equal(fresh.do("GET", "/read/x", "").status, 200)
 }
 
 // Guards against a shut-down that cuts a running request or stays ready.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -76,6 +76,9 @@
 	// budgetShare is the part of the retry ratio that is used. The rest covers requests that are counted in
 	// different windows by the platform and here.
 	budgetShare = 0.8
+	// startGrant is the number of further attempts that an instance may make for a pool before it has seen
+	// enough requests. Over all instances it stays within the reserve of the platform's bound.
+	startGrant = 1
 	// hedgePoint is the share of the target after which a second copy of an idempotent request is sent. It
 	// leaves time for one usual run.
 	hedgePoint = 0.55
@@ -109,7 +112,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.percent = budgetShare * bounds.RetryPercent
-	b.burst = max(bounds.RetryReserve/max(b.instances, 1), 1)
+	b.burst = max(bounds.RetryReserve/max(b.instances, 1), 2)
 	b.pools = map[string]*retry.Budget{}
 }
 
@@ -119,6 +122,7 @@
 	p := b.pools[pool]
 	if p == nil {
 		p = retry.NewBudget(b.percent, b.burst)
+		p.Grant(startGrant)
 		b.pools[pool] = p
 	}
 	return p
@@ -140,5 +144,6 @@
 	return time.Duration(hedgePoint * float64(route.Target)), true
 }
 
-// Take implements entry.Hedger.
-func (b *budgets) Take(pool *table.Pool, _ *table.Route) bool { return b.of(pool.Name).Take() }
+// Take implements entry.Hedger. A second copy leaves the last further attempt to a
+// request that fails.
+func (b *budgets) Take(pool *table.Pool, _ *table.Route) bool { return b.of(pool.Name).TakeSpare() }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -94,7 +94,7 @@
 	}
 	parts.Self.Region = f.cfg.Region
 	if p.TCPTransport != nil {
-		parts.Peers = p.TCPTransport
+		parts.Peers, parts.Dial, parts.Seeds = p.TCPTransport, p.Dial, f.cfg.Peers.Seeds
 		parts.Self.ID, parts.Self.Address = p.Self(), f.cfg.Peers.Advertise
 	}
 	f.Follower = follow.New(parts, f.log)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,8 +78,8 @@
 	// Plaintext must be true for a listener without TLS, so that encryption is never left out by oversight.
 	// Default false.
 	Plaintext bool `json:"plaintext,omitempty"`
-	// Seeds are peers' addresses, as IP:port, that an instance tries while the platform's list cannot be
-	// read. Only for peers. Default: none.
+	// Seeds are peers' addresses, as IP:port, that an instance tries while the platform's list or store
+	// cannot be read. Only for peers. Default: none.
 	Seeds []string `json:"seeds,omitempty"`
 }
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -43,6 +43,25 @@
 	}
 }
 
+// TakeSpare uses up one extra attempt only if another one is left after it. It is
+// for attempts that make an answer faster, so that they leave one for a request that fails.
+func (b *Budget) TakeSpare() bool {
+	for {
+		old := b.tokens.Load()
+		if old < 2*unit {
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
+
+// Grant adds extra attempts at the start, up to the burst.
+func (b *Budget) Grant(n int) {
+	b.tokens.Store(min(b.burst, b.tokens.Load()+int64(n)*unit))
+}
+
 // Return gives back an extra attempt that was not sent.
 func (b *Budget) Return() {
 	for {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -199,3 +199,17 @@
 		is.Equal(v, 1)
 	})
 }
+
+// Guards against second copies that use up what a failed request needs, and
+// against a start grant above the burst.
+func TestSpareAttemptsLeaveOne(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(20, 3)
+	is.True(!b.Take())
+	b.Grant(9)
+	is.True(b.TakeSpare())
+	is.True(b.TakeSpare())
+	is.True(!b.TakeSpare())
+	is.True(b.Take())
+	is.True(!b.Take())
+}
