Apply the operator's limits on headers, bodies and idle time; add a fault soak

The soak runs real instances as processes with a proxy to the store, signals, and faults of store and servers; it checks MIXED, UNASKED, TWICE, REFUSED, DENIED, DRAIN and recovery from what callers and servers see.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/turmericsail/turmericsail/internal/discovery"
+	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/membership"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
@@ -21,6 +22,8 @@
 	Tables *table.Tables
 	// Members is the membership that this instance believes in.
 	Members *membership.View
+	// Limits are the operators' limits on what callers may send. Zero fields leave the instance's own in force.
+	Limits settings.Limits
 	// Refused lists the rows that are not in force because of their faults.
 	Refused table.Problems
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -91,10 +91,26 @@
 	e.server.Protocols.SetHTTP2(true)
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
 	e.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	e.server.ConnState = newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() }).state
 	e.inner = e.newServer(true)
 	return e
 }
 
+// limits returns the limits in force: the operators' where they set one below the instance's own.
+func (e *Entry) limits() settings.Limits {
+	own, set := e.cfg.Limits, e.snapshots.Snapshot().Limits
+	if set.HeaderBytes > 0 {
+		own.HeaderBytes = min(own.HeaderBytes, set.HeaderBytes)
+	}
+	if set.BodyBytes > 0 {
+		own.BodyBytes = min(own.BodyBytes, set.BodyBytes)
+	}
+	if set.IdleTimeout > 0 {
+		own.IdleTimeout = min(own.IdleTimeout, set.IdleTimeout)
+	}
+	return own
+}
+
 func (e *Entry) newServer(relayed bool) *http.Server {
 	router := echo.New()
 	// Routes are in the tables, so every request is taken before echo's own router.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -164,7 +164,7 @@
 	if x.r.Method == http.MethodConnect {
 		return refuseMethod()
 	}
-	if limit := int64(x.e.cfg.Limits.HeaderBytes); limit > 0 && headerSize(x.r) > limit {
+	if limit := int64(x.e.limits().HeaderBytes); limit > 0 && headerSize(x.r) > limit {
 		return refuseHeader(limit)
 	}
 	var ok bool
@@ -225,7 +225,7 @@
 	if x.route.MaxBody > 0 {
 		return int64(x.route.MaxBody)
 	}
-	return int64(x.e.cfg.Limits.BodyBytes)
+	return int64(x.e.limits().BodyBytes)
 }
 
 // expire ends what the guard timer watched.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -356,7 +356,7 @@
 	if old := f.Snapshot().Tables; old == nil || old.Revision != tables.Revision {
 		f.log.Info("configuration in force", "version", tables.Revision, "routes", len(tables.Routes), "pools", len(tables.Pools))
 	}
-	f.current.Store(&control.Snapshot{Tables: tables, Refused: problems})
+	f.current.Store(&control.Snapshot{Tables: tables, Limits: m.config.Limits, Refused: problems})
 }
 
 // weight orders the readers of a region for this instance (rendezvous hashing).
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -283,6 +284,33 @@
 	is.Equal(i.do("GET", "/lookup/x", "").status, 200)
 }
 
+// Guards against bodies above the operator's limit, and against idle connections
+// that stay open after the operator's limit or are closed before it.
+func TestOperatorLimits(t *testing.T) {
+	is := is.New(t)
+	d := newDeployment(t, 1)
+	d.store.Put("op/config", strings.Replace(fmt.Sprintf(testConfig, 9), `"idle_timeout":"15s"`, `"idle_timeout":"700ms"`, 1))
+	i := d.start("e1")
+	is.Equal(i.do("POST", "/write/x", strings.Repeat("x", 70000)).status, http.StatusRequestEntityTooLarge)
+	c, err := net.Dial("tcp", i.front)
+	is.NoErr(err)
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for range 2 { // the second request comes within the limit
+		_, err = io.WriteString(c, "GET /read/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: idle\r\nRequest-Deadline: 3000\r\n\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, 200)
+		time.Sleep(400 * time.Millisecond)
+	}
+	is.NoErr(c.SetReadDeadline(time.Now().Add(2 * time.Second)))
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
 // Guards against an instance that forgets its tables while the store is away, and
 // against one that is started then and cannot serve although others could tell it all.
 func TestStoreOutage(t *testing.T) {
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,542 @@
+// Package soak runs real instances as processes and injects faults from outside:
+// signals, a proxy between instances and the store, faults of the store and of the
+// servers. While it runs it checks what callers and servers see.
+//
+//	go test ./test/soak -seeds 50 -length 20s
+//
+// Every run prints its seed. A seed that ever failed is in regressions with its cause.
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/turmericsail/turmericsail/platform/platformtest"
+)
+
+var (
+	seeds    = flag.Int("seeds", 1, "number of seeds to run")
+	first    = flag.Uint64("seed", 1, "first seed")
+	length   = flag.Duration("length", 8*time.Second, "length of the faults of one seed")
+	fleetLen = flag.Int("instances", 4, "number of instances")
+)
+
+// regressions are the seeds that failed once, with the cause.
+var regressions = []uint64{}
+
+var binary string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	binary = filepath.Join(dir, "turmericsail")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/turmericsail").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const configText = `{"version":%d,"base_version":0,"resources":[
+{"type":"routes","metadata":{"name":"read"},"spec":{"host":"a.example","path_prefix":"/read/","kind":"safe","timeout":"2s","target_latency":"200ms","priority":2,"service":"s1","max_attempts":3,"allowed_regions":[]}},
+{"type":"routes","metadata":{"name":"write"},"spec":{"host":"a.example","path_prefix":"/write/","kind":"unsafe","timeout":"2s","target_latency":"200ms","priority":1,"service":"s1","max_attempts":3,"allowed_regions":[]}},
+{"type":"services","metadata":{"name":"s1"},"spec":{"health_path":"/health","max_conns":260,"warmup":"3s","warmup_per_s":7.0}}]}`
+
+// proxy is a TCP proxy on loopback between one instance and the store. It can
+// refuse, reset or silence its connections, in both directions or one.
+type proxy struct {
+	listener net.Listener
+	target   string
+	mode     atomic.Int32
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+const (
+	modePass int32 = iota
+	modeReset
+	modeSilent
+	modeOneWay
+	modeSlow
+	modes
+)
+
+func newProxy(t *testing.T, target string) *proxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: l, target: target}
+	t.Cleanup(func() { _ = l.Close(); p.set(modeReset) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) serve(c net.Conn) {
+	if p.mode.Load() == modeReset {
+		_ = c.Close()
+		return
+	}
+	s, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns = append(p.conns, c, s)
+	p.mu.Unlock()
+	go p.copy(s, c, false)
+	p.copy(c, s, true)
+}
+
+func (p *proxy) copy(dst, src net.Conn, back bool) {
+	defer dst.Close()
+	defer src.Close()
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := src.Read(buf)
+		for mode := p.mode.Load(); mode == modeSilent || mode == modeOneWay && back; mode = p.mode.Load() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if p.mode.Load() == modeSlow {
+			time.Sleep(150 * time.Millisecond)
+		}
+		if n > 0 {
+			if _, err := dst.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) set(mode int32) {
+	p.mode.Store(mode)
+	if mode != modeReset {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	p.conns = nil
+}
+
+// instance is one process with its proxy to the store.
+type instance struct {
+	name, front, admin, settings string
+	path                         *proxy
+	log                          string
+	mu                           sync.Mutex
+	cmd                          *exec.Cmd
+	harmed                       time.Time // the end of its last trouble
+}
+
+func (i *instance) start() error {
+	out, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cmd = exec.Command(binary, "serve", "--settings", i.settings)
+	i.cmd.Stdout, i.cmd.Stderr = out, out
+	return i.cmd.Start()
+}
+
+// signal sends a signal to the process and, with wait, starts it again after its end.
+func (i *instance) signal(s syscall.Signal, again bool) {
+	i.mu.Lock()
+	cmd := i.cmd
+	i.mu.Unlock()
+	_ = cmd.Process.Signal(s)
+	if again {
+		_ = cmd.Wait()
+		time.Sleep(100 * time.Millisecond)
+		_ = i.start()
+	}
+}
+
+func (i *instance) harm() {
+	i.mu.Lock()
+	i.harmed = time.Now()
+	i.mu.Unlock()
+}
+
+func (i *instance) calmSince(at time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return at.Sub(i.harmed) > contact
+}
+
+const (
+	// contact is how long an instance must have been calm before a bound holds for it, drain and configApply are the platform's bounds.
+	contact     = 3 * time.Second
+	drain       = 2 * time.Second
+	configApply = 2 * time.Second
+)
+
+// world is one seed's deployment.
+type world struct {
+	t         *testing.T
+	rng       *rand.Rand
+	store     *platformtest.Store
+	storeCalm atomic.Int64 // Unix nanoseconds of the end of the store's last trouble
+	instances []*instance
+	servers   []*platformtest.Server
+	at        []string
+	version   int
+
+	mu       sync.Mutex
+	refused  map[string]bool // unsafe requests that were answered with a promise that they did not run
+	asked    map[string]time.Time
+	by       map[string]*instance
+	left     map[string]time.Time // servers that left, with the time of the acknowledgement
+	answered int
+	broken   []string
+}
+
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 1)), store: platformtest.NewStore(), version: 3,
+		refused: map[string]bool{}, asked: map[string]time.Time{}, by: map[string]*instance{}, left: map[string]time.Time{}}
+	s := httptest.NewServer(w.store)
+	t.Cleanup(s.Close)
+	w.store.Put("op/config", fmt.Sprintf(configText, w.version))
+	for n := range 5 {
+		server := &platformtest.Server{ID: fmt.Sprintf("i-%d", n), Service: "s1", Zone: "north-a", Slots: 4, Work: 15 * time.Millisecond}
+		l := httptest.NewServer(server)
+		t.Cleanup(l.Close)
+		w.servers, w.at = append(w.servers, server), append(w.at, l.Listener.Addr().String())
+		w.store.Put("servers/"+server.ID, server.Entry(w.at[n], "ready"))
+	}
+	dir := t.TempDir()
+	var peers []string
+	for range *fleetLen {
+		peers = append(peers, free(t))
+	}
+	for n := range *fleetLen {
+		i := &instance{name: fmt.Sprintf("e%d", n), front: free(t), admin: free(t), path: newProxy(t, s.Listener.Addr().String())}
+		i.settings, i.log = filepath.Join(dir, i.name+".json"), filepath.Join(dir, i.name+".log")
+		seeds, _ := json.Marshal(peers[:min(3, len(peers))]) // strings always marshal
+		text := fmt.Sprintf(`{"instance":%q,"region":"north","failure_domain":"north-a","regions":["north"],"callers":{"listen":%q,"plaintext":true},
+"peers":{"listen":%q,"plaintext":true,"seeds":%s},"admin":{"listen":%q},"shutdown":{"notice":"500ms"},"log":{"requests":true},
+"platform":{"store":%q,"domains":{"north-a":"north"},"bounds":["retry_budget_ratio=0.2","retry_budget_slack=64"]}}`,
+			i.name, i.front, peers[n], seeds, i.admin, i.path.listener.Addr().String())
+		if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := i.start(); err != nil {
+			t.Fatal(err)
+		}
+		i.harm()
+		t.Cleanup(func() { i.signal(syscall.SIGCONT, false); i.signal(syscall.SIGKILL, false); _ = i.cmd.Wait() })
+		w.instances = append(w.instances, i)
+	}
+	for _, i := range w.instances {
+		w.until(i.name+" is ready", i.ready)
+	}
+	return w
+}
+
+func (i *instance) ready() bool {
+	resp, err := http.Get("http://" + i.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) until(what string, ok func() bool) {
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("did not happen within 20 s: %s", what)
+		}
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.broken = append(w.broken, fmt.Sprintf(format, args...))
+}
+
+// client sends requests over kept connections until ctx ends.
+func (w *world) client(ctx context.Context, number int, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, uint64(number)))
+	client := &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second}
+	defer client.CloseIdleConnections()
+	for n := 0; ctx.Err() == nil; n++ {
+		i := w.instances[rng.IntN(len(w.instances))]
+		unsafe := rng.IntN(2) == 0
+		w.request(client, i, fmt.Sprintf("r-%d-%d", number, n), unsafe)
+		time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+	}
+}
+
+func (w *world) request(client *http.Client, i *instance, id string, unsafe bool) {
+	method, path, body := "GET", "/read/"+id, ""
+	if unsafe {
+		method, path, body = "POST", "/write/"+id, "order "+id
+	}
+	req, err := http.NewRequest(method, "http://"+i.front+path, strings.NewReader(body))
+	if err != nil {
+		w.fail("request %s cannot be made: %v", id, err)
+		return
+	}
+	req.Host = "a.example"
+	req.GetBody = nil // net/http must not send an unsafe request again by itself
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Request-Deadline", "3000")
+	w.mu.Lock()
+	w.asked[id], w.by[id] = time.Now(), i
+	w.mu.Unlock()
+	resp, err := client.Do(req)
+	if err != nil {
+		return // promises nothing
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return
+	}
+	switch {
+	case resp.StatusCode == 200:
+		if resp.Header.Get("Response-Signature") == "" || !strings.HasSuffix(string(data), fmt.Sprintf(" %s %s %s", method, path, body)) {
+			w.fail("MIXED: %s got %q", id, data)
+		}
+		w.mu.Lock()
+		w.answered++
+		w.mu.Unlock()
+	case resp.StatusCode == 503 && unsafe:
+		w.mu.Lock()
+		w.refused[id] = true
+		w.mu.Unlock()
+	case resp.StatusCode == 404 && strings.HasPrefix(path, "/"):
+		w.fail("DENIED: %s got 404", id)
+	}
+}
+
+// fault injects one fault and returns how to end it.
+func (w *world) fault() {
+	i := w.instances[w.rng.IntN(len(w.instances))]
+	d := time.Duration(200+w.rng.IntN(1500)) * time.Millisecond
+	server := w.rng.IntN(len(w.servers))
+	switch w.rng.IntN(11) {
+	case 0:
+		i.harm()
+		i.signal(syscall.SIGKILL, true)
+		i.harm()
+	case 1:
+		i.harm()
+		go func() { i.signal(syscall.SIGTERM, true); i.harm() }()
+	case 2:
+		i.signal(syscall.SIGSTOP, false)
+		time.Sleep(d)
+		i.signal(syscall.SIGCONT, false)
+		i.harm()
+	case 3, 4:
+		i.path.set(1 + w.rng.Int32N(modes-1))
+		time.Sleep(d)
+		i.path.set(modeReset) // what was silent does not come back
+		i.path.set(modePass)
+		i.harm()
+	case 5:
+		faults := []platformtest.Faults{{Status: 503}, {Status: 429}, {Reset: true}, {Delay: 300 * time.Millisecond}, {LoseAnswers: true}, {DeafWatches: true}}
+		w.storeTrouble(func() {
+			w.store.SetFaults(faults[w.rng.IntN(len(faults))])
+			time.Sleep(d)
+			w.store.SetFaults(platformtest.Faults{})
+		})
+	case 6:
+		w.storeTrouble(w.store.Forget)
+	case 7:
+		behave := []platformtest.Behaviour{{Fail: true}, {Shed: true}, {Drop: true}, {Cut: true}, {Unsigned: true}, {WrongID: true}, {Slowdown: 400}, {Impostor: "i-x"}}
+		w.servers[server].SetBehaviour(behave[w.rng.IntN(len(behave))])
+		time.Sleep(d)
+		w.servers[server].SetBehaviour(platformtest.Behaviour{})
+	case 8:
+		s := w.servers[server]
+		w.store.Put("servers/"+s.ID, s.Entry(w.at[server], "draining"))
+		w.mu.Lock()
+		w.left[s.ID] = time.Now()
+		w.mu.Unlock()
+		time.Sleep(drain + time.Second)
+		w.mu.Lock()
+		delete(w.left, s.ID)
+		w.mu.Unlock()
+		w.store.Put("servers/"+s.ID, s.Entry(w.at[server], "ready"))
+	case 9:
+		for range 1 + w.rng.IntN(5) {
+			w.version += 1 + w.rng.IntN(4)
+			w.store.Put("op/config", fmt.Sprintf(configText, w.version))
+			time.Sleep(30 * time.Millisecond)
+		}
+	case 10:
+		w.store.Put("servers/broken", `{"address":7}`)
+		i.signal(syscall.SIGHUP, false)
+	}
+}
+
+func (w *world) storeTrouble(f func()) {
+	w.storeCalm.Store(time.Now().Add(time.Hour).UnixNano())
+	f()
+	w.storeCalm.Store(time.Now().UnixNano())
+}
+
+// watchDrains checks that servers that left get nothing after the bound.
+func (w *world) watchDrains(ctx context.Context) {
+	seen := make([]int, len(w.servers))
+	for ctx.Err() == nil {
+		for n, s := range w.servers {
+			headers := s.Headers()
+			w.mu.Lock()
+			left, leaving := w.left[s.ID]
+			if leaving && time.Since(left) > drain+100*time.Millisecond {
+				for _, h := range headers[seen[n]:] {
+					id := h.Get("Request-Id")
+					i, calmStore := w.by[id], time.Unix(0, w.storeCalm.Load())
+					if w.asked[id].Sub(left) > drain && i != nil && i.calmSince(left) && left.Sub(calmStore) > contact {
+						w.broken = append(w.broken, fmt.Sprintf("DRAIN: %s reached %s %s after it left, from %s", id, s.ID, time.Since(left), i.name))
+					}
+				}
+			}
+			seen[n] = len(headers)
+			w.mu.Unlock()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (w *world) verdict() {
+	runs := map[string]int{}
+	for _, s := range w.servers {
+		for id, n := range s.Runs() {
+			runs[id] += n
+		}
+	}
+	unsafe := map[string]bool{}
+	for _, s := range w.servers {
+		for _, h := range s.Headers() {
+			unsafe[h.Get("Request-Id")] = h.Get("Content-Length") != "" && h.Get("Content-Length") != "0"
+		}
+	}
+	for id, n := range runs {
+		if _, ok := w.asked[id]; !ok {
+			w.fail("UNASKED: %s ran", id)
+		}
+		if n > 1 && unsafe[id] {
+			w.fail("TWICE: %s ran %d times", id, n)
+		}
+	}
+	for id := range w.refused {
+		if runs[id] > 0 {
+			w.fail("REFUSED: %s ran", id)
+		}
+	}
+	// All instances recover: the newest configuration is in force and requests are served.
+	for _, i := range w.instances {
+		w.until(i.name+" has recovered", func() bool {
+			resp, err := http.Get("http://" + i.admin + "/status")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			var status struct{ Tables struct{ Revision int } }
+			return json.NewDecoder(resp.Body).Decode(&status) == nil && status.Tables.Revision == w.version && i.ready()
+		})
+	}
+	if w.answered < 50 {
+		w.fail("only %d requests were served", w.answered)
+	}
+}
+
+func run(t *testing.T, seed uint64) {
+	w := newWorld(t, seed)
+	ctx, cancel := context.WithTimeout(context.Background(), *length)
+	defer cancel()
+	var running sync.WaitGroup
+	for n := range 6 {
+		running.Go(func() { w.client(ctx, n, seed) })
+	}
+	running.Go(func() { w.watchDrains(ctx) })
+	for ctx.Err() == nil {
+		w.fault()
+		time.Sleep(time.Duration(w.rng.IntN(600)) * time.Millisecond)
+	}
+	running.Wait()
+	w.verdict()
+	if len(w.broken) > 0 {
+		var logs bytes.Buffer
+		for _, i := range w.instances {
+			data, _ := os.ReadFile(i.log) // a missing log is seen by its absence
+			fmt.Fprintf(&logs, "== %s\n%s\n", i.name, data)
+		}
+		kept := filepath.Join(os.TempDir(), fmt.Sprintf("soak-seed-%d.log", seed))
+		_ = os.WriteFile(kept, logs.Bytes(), 0o600)
+		t.Fatalf("seed %d (logs in %s):\n%s", seed, kept, strings.Join(w.broken, "\n"))
+	}
+	t.Logf("seed %d: %d requests served, %d refused", seed, w.answered, len(w.refused))
+}
+
+// Guards against promises that are broken when faults of processes, of the way to
+// the store, of the store and of the servers come in series and overlap.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("runs processes")
+	}
+	list := append([]uint64(nil), regressions...)
+	for n := range *seeds {
+		list = append(list, *first+uint64(n))
+	}
+	for _, seed := range list {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { run(t, seed) })
+	}
+}
