--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
@@ -103,6 +104,7 @@
 		tail: newTail(), batches: make(chan batch), avoid: map[peer.InstanceID]time.Time{},
 	}
 	f.current.Store(&control.Snapshot{})
+	metrics.GetOrCreateGauge("turmericsail_store_knowledge_age_seconds", f.tail.age)
 	if f.peers != nil {
 		f.peers.Handle(Service, f.serve)
 	}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -87,6 +87,16 @@
 	return confirmed.Sub(t.confirmed)
 }
 
+// age returns the seconds since the store last confirmed what is known, or -1 before it did.
+func (t *tail) age() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.known {
+		return -1
+	}
+	return time.Since(t.confirmed).Seconds()
+}
+
 // all returns every entry.
 func (t *tail) all() (entries []store.Entry, revision uint64, age time.Duration, known bool) {
 	t.mu.Lock()
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -63,6 +63,7 @@
 	asker    Asker
 	log      logr.Logger
 	suspects *suspicions
+	meter    meter
 
 	mu      sync.Mutex
 	crowds  map[string]*pressure // by pool
@@ -109,12 +110,14 @@
 		switch {
 		case v == take:
 			if c := p.claim(b); c != nil {
+				p.meter.placed(r, time.Since(b.reading.At), rounds)
 				p.log.V(1).Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
 					"waited", time.Since(r.Start).String(), "running", b.reading.Running, "waiting", b.reading.Waiting,
 					"slots", b.reading.Slots, "slowdown", b.reading.Slowdown, "suspicion", b.suspicion, "cost", b.cost.String())
 				return c, nil
 			}
 		case v == refuse || r.Urgent:
+			p.meter.refused(r)
 			p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "waited", time.Since(r.Start).String())
 			return nil, &Refused{fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay"), ch.comeBack(time.Now(), rand.Float64())}
 		}
