--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -45,6 +45,7 @@
 	noise    float64 // share of the time in which work takes four times as long
 	until    time.Time
 	grey     bool
+	dark     bool // answers nothing
 	coldTill time.Time
 }
 
@@ -140,6 +141,10 @@
 // Ask implements Asker: the reading is as old as half a round trip.
 func (w *simWorld) Ask(ctx context.Context, _ *table.Pool, u table.Upstream) (Reading, error) {
 	s := w.servers[u.ID]
+	if s.dark {
+		<-ctx.Done()
+		return Reading{}, ctx.Err()
+	}
 	time.Sleep(time.Millisecond)
 	if ctx.Err() != nil {
 		return Reading{}, errors.New("too late")
@@ -278,6 +283,25 @@
 	})
 }
 
+// Guards against requests that wait for one silent group after the other: when all
+// upstreams of the own region go dark, one group must be enough to ask other regions first.
+func TestDarkFailureDomainIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newSimWorld(48, 0)
+		for i := range w.pool.Upstreams {
+			u := &w.pool.Upstreams[i]
+			w.servers[u.ID].dark = i%2 == 0
+			if i%2 == 1 {
+				u.Region, u.FailureDomain = "south", "south-1"
+			}
+		}
+		res := w.play(4, 40, 10*time.Second, 11)
+		t.Logf("%+v", res)
+		is.True(res.share() >= 0.95)
+	})
+}
+
 // Guards against the crash of a cold upstream: in no second may it get more than
 // 1.5 times the 7 requests that it bears and 5 more, over all instances, also
 // while most upstreams of the pool are cold.
