Ask a large pool in part

Change: a request considers the instance's 12 upstreams of the own region, 12 others of it drawn at random, and 12 of other regions.

--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -72,34 +72,62 @@
 
 func (c *candidate) remote() bool { return c.distance == OtherRegion }
 
-// subsetSize is the number of upstreams of a pool that an instance asks first. It
-// answers large pools: with all of them asked in turn, connections go idle and are
-// closed between two questions. Three samples leave room for upstreams that are slow or gone.
+// subsetSize is the number of upstreams of a pool that an instance asks first, and
+// at most beside them. It answers large pools: with all of them asked in turn,
+// connections go idle and are closed between two questions, and a full pool would be
+// asked as a whole for each request. Three samples leave room for upstreams that
+// are slow or gone.
 const subsetSize = 3 * sampleSize
 
-// markSubset marks the instance's subset: the nearest upstreams, by rendezvous
-// hashing among those of the same distance, so that every upstream is in the
-// subsets of about as many instances and a change of the pool moves few.
-func markSubset(list []*candidate, instance string) {
-	type weighed struct {
-		c      *candidate
-		weight uint64
+// selection collects a part of the upstreams of one distance: the instance's subset,
+// by rendezvous hashing, and others drawn at random. Every upstream is in the
+// subsets of about as many instances, and a change of the pool moves few.
+type selection struct {
+	subset []weighed // in rising order of weight
+	others []int     // a uniform draw from all that were added
+	seen   int
+}
+
+type weighed struct {
+	index  int
+	weight uint64
+}
+
+// add takes an upstream into account.
+func (s *selection) add(index int, weight uint64) {
+	s.seen++
+	if len(s.others) < subsetSize {
+		s.others = append(s.others, index)
+	} else if n := rand.IntN(s.seen); n < subsetSize {
+		s.others[n] = index
 	}
-	all := make([]weighed, len(list))
-	for i, c := range list {
-		all[i] = weighed{c, xxhash.Sum64String(instance + " " + c.upstream.ID)}
+	if len(s.subset) == subsetSize {
+		if weight >= s.subset[subsetSize-1].weight {
+			return
+		}
+		s.subset = s.subset[:subsetSize-1]
 	}
-	slices.SortFunc(all, func(a, b weighed) int {
-		if a.c.remote() != b.c.remote() {
-			return cmp.Compare(a.c.distance, b.c.distance)
+	at, _ := slices.BinarySearchFunc(s.subset, weight, func(w weighed, weight uint64) int { return cmp.Compare(w.weight, weight) })
+	s.subset = slices.Insert(s.subset, at, weighed{index, weight})
+}
+
+// each calls f for the subset and then for the others.
+func (s *selection) each(f func(index int, usual bool)) {
+	for _, w := range s.subset {
+		f(w.index, true)
+	}
+	for _, index := range s.others {
+		if !slices.ContainsFunc(s.subset, func(w weighed) bool { return w.index == index }) {
+			f(index, false)
 		}
-		return cmp.Compare(a.weight, b.weight)
-	})
-	for _, w := range all[:min(subsetSize, len(all))] {
-		w.c.usual = true
 	}
 }
 
+// subsetWeight is the weight of an upstream for an instance.
+func subsetWeight(instance, upstream string) uint64 {
+	return xxhash.Sum64String(instance + " " + upstream)
+}
+
 // verdict is what a chooser decides after a round of readings.
 type verdict int
 
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -98,7 +98,6 @@
 		if len(list) == 0 {
 			return nil, &Refused{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.comeBack(time.Now(), rand.Float64())}
 		}
-		markSubset(list, p.place.Instance)
 		rank(list)
 		v, b := p.pass(ctx, ch, r, list, &rounds)
 		if ctx.Err() != nil {
@@ -205,17 +204,34 @@
 	}
 }
 
+// candidates returns the upstreams that may be asked for a request.
 func (p *Policy) candidates(r Request) []*candidate {
+	var near, far selection
+	for i := range r.Pool.Upstreams {
+		u := &r.Pool.Upstreams[i]
+		if !r.Pool.InService(*u) || !r.Route.Permits(u.Region) || slices.Contains(r.Tried, u.ID) {
+			continue
+		}
+		weight := subsetWeight(p.place.Instance, u.ID)
+		if p.place.distance(*u) == OtherRegion {
+			far.add(i, weight)
+		} else {
+			near.add(i, weight)
+		}
+	}
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []*candidate
-	for _, u := range r.Pool.Upstreams {
-		if !r.Pool.InService(u) || !r.Route.Permits(u.Region) || slices.Contains(r.Tried, u.ID) {
-			continue
-		}
-		list = append(list, &candidate{upstream: u, distance: p.place.distance(u), suspicion: p.suspects.of(u.ID, now), pending: p.pending[u.ID]})
+	list := make([]*candidate, 0, len(near.subset)+len(near.others)+len(far.subset))
+	add := func(index int, usual bool) {
+		u := r.Pool.Upstreams[index]
+		list = append(list, &candidate{upstream: u, distance: p.place.distance(u), suspicion: p.suspects.of(u.ID, now), pending: p.pending[u.ID], usual: usual})
+	}
+	near.each(add)
+	if near.seen > 0 {
+		far.others = nil
 	}
+	far.each(add)
 	return list
 }
 
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -336,3 +336,27 @@
 	}
 	return float64(most)
 }
+
+// Guards against instances that ask a whole large pool for a request that finds no
+// room, against subsets that leave out some upstreams, and against pools in which a few get all requests.
+func TestLargePoolsAreAskedInPart(t *testing.T) {
+	is := is.New(t)
+	w := newSimWorld(1000, 0)
+	all := map[string]int{}
+	for n := range 300 {
+		p := New(Place{Instance: fmt.Sprintf("e%d", n), Region: "north", FailureDomain: "north-0"}, w, logr.Discard())
+		list := p.candidates(Request{Pool: &w.pool, Route: &w.route})
+		is.True(len(list) <= 2*subsetSize)
+		for _, c := range list {
+			if c.usual {
+				all[c.upstream.ID]++
+			}
+		}
+	}
+	most := 0
+	for _, n := range all {
+		most = max(most, n)
+	}
+	is.True(len(all) >= 950) // 300 subsets of 12 over 1000 upstreams miss 27 on average
+	is.True(most <= 15)      // 3.6 on average
+}
