--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/retry"
 )
 
@@ -93,7 +94,7 @@
 		return false
 	}
 	x.e.metrics.retries(x.pool.Name).Inc()
-	return sleep(x.r.Context(), wait)
+	return pause.For(x.r.Context(), wait)
 }
 
 // runs returns the number of attempts that may have run.
@@ -103,20 +104,6 @@
 	return x.report.attempts - x.report.notRun
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // giveUp turns the last failure into a refusal, or passes on the upstream's own 503.
 func (x *exchange) giveUp(a *attempt) (*attempt, *Refusal) {
 	switch a.fail {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,6 +22,7 @@
 
 	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
@@ -142,20 +143,20 @@
 
 // follow asks for changes until ctx ends.
 func (f *Follower) follow(ctx context.Context) error {
-	pause := retryMin
+	backoff := retryMin
 	for ctx.Err() == nil {
 		if f.followReader(ctx) {
 			continue
 		}
 		if f.followStore(ctx) {
-			pause = retryMin
+			backoff = retryMin
 			continue
 		}
 		if !f.listed && f.followSeeds(ctx) {
 			continue
 		}
-		sleep(ctx, jitter(pause))
-		pause = min(2*pause, retryMax)
+		pause.For(ctx, jitter(backoff))
+		backoff = min(2*backoff, retryMax)
 	}
 	return ctx.Err()
 }
@@ -282,9 +283,9 @@
 	if len(b.changes) > 0 || b.listed || b.returned {
 		f.pass(ctx, b)
 		if first && !f.hasReaders() {
-			sleep(ctx, startPause)
+			pause.For(ctx, startPause)
 		} else {
-			sleep(ctx, settle)
+			pause.For(ctx, settle)
 		}
 	}
 	return true
@@ -368,12 +369,3 @@
 
 // jitter spreads the calls of instances that failed together.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
@@ -82,7 +83,7 @@
 		} else if !f.keep(ctx, held) {
 			held = place{}
 		}
-		sleep(ctx, placeRenew)
+		pause.For(ctx, placeRenew)
 	}
 	if held.lease != "" {
 		// The place goes to another instance at once; without an answer it lapses by itself.
@@ -103,7 +104,7 @@
 	if f.self.LinkMbps > 0 && f.self.LinkMbps < slowLink {
 		delay += claimHandicap
 	}
-	sleep(ctx, delay)
+	pause.For(ctx, delay)
 	n := f.freePlace()
 	if n < 0 || ctx.Err() != nil {
 		return place{}
--- a/pkg/configsync/editor.go
+++ b/pkg/configsync/editor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
 
@@ -26,7 +27,7 @@
 				return r.head.Revision, nil
 			}
 		}
-		if !sleep(ctx, jitter(editPoll)) {
+		if !pause.For(ctx, jitter(editPoll)) {
 			return 0, fault.Wrap(fault.OutcomeUnknown, ctx.Err(), "the edit is accepted but has no revision yet", "ask again when the store answers and an instance runs")
 		}
 	}
--- a/pkg/configsync/exchange.go
+++ b/pkg/configsync/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/membership"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/peer/peerpb"
 )
@@ -82,7 +83,7 @@
 
 // compareLoop compares with one random member after each interval.
 func (y *Syncer) compareLoop(ctx context.Context) {
-	for sleep(ctx, jitter(y.settings.CompareInterval.Std())) {
+	for pause.For(ctx, jitter(y.settings.CompareInterval.Std())) {
 		for _, m := range y.random(1) {
 			y.running.Go(func() { _, _ = y.compare(ctx, m) })
 		}
--- a/pkg/configsync/progress.go
+++ b/pkg/configsync/progress.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/membership"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 )
 
@@ -70,7 +71,7 @@
 		if p.Complete() {
 			return p, nil
 		}
-		if !sleep(ctx, jitter(y.settings.RetryMin.Std()*2)) {
+		if !pause.For(ctx, jitter(y.settings.RetryMin.Std()*2)) {
 			return p, fault.Wrap(fault.OutcomeUnknown, ctx.Err(), "the revision is not yet in force on every reachable instance", "ask again; the revision stays accepted")
 		}
 	}
--- a/pkg/configsync/start.go
+++ b/pkg/configsync/start.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/membership"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 )
 
@@ -18,7 +19,7 @@
 	y.running.Go(func() { y.pullLoop(ctx) })
 	var w watcher
 	for !y.firstTables(ctx, &w) {
-		if !sleep(ctx, jitter(y.settings.RetryMin.Std()*2)) {
+		if !pause.For(ctx, jitter(y.settings.RetryMin.Std()*2)) {
 			return
 		}
 	}
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -222,15 +222,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
 }
-
-// sleep waits for d or until ctx ends, and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/configsync/watch.go
+++ b/pkg/configsync/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/membership"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
 
@@ -58,7 +59,7 @@
 	case d.askPeers:
 		w.after = 0
 		y.askSome(ctx)
-		sleep(ctx, jitter(askPause))
+		pause.For(ctx, jitter(askPause))
 	case d.adopt != nil:
 		y.adopt(ctx, "store", true, d.adopt)
 	case d.head != nil:
@@ -107,7 +108,7 @@
 		// Another watcher was first, so its head is read at once. A store that goes on reading
 		// stale must not be read in a tight loop.
 		if w.conflicts++; w.conflicts > 1 {
-			sleep(ctx, jitter(y.settings.RetryMin.Std()))
+			pause.For(ctx, jitter(y.settings.RetryMin.Std()))
 		}
 	default:
 		w.pause(ctx, y, err)
@@ -122,7 +123,7 @@
 	}
 	d := min(y.settings.RetryMax.Std(), y.settings.RetryMin.Std()<<min(w.failures, 16))
 	w.failures++
-	sleep(ctx, jitter(d))
+	pause.For(ctx, jitter(d))
 }
 
 // askPause is the time that peers get to bring this instance up to date before the store is read again.
--- /dev/null
+++ b/pkg/pause/pause_test.go
@@ -0,0 +1,26 @@
+package pause
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a wait that outlives its context, and against one that ends early.
+func TestFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		start := time.Now()
+		is.True(For(context.Background(), time.Second))
+		is.Equal(time.Since(start), time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		is.True(For(ctx, 0))
+		is.True(!For(ctx, time.Minute))
+		is.True(!For(ctx, 0))
+		is.Equal(time.Since(start), 2*time.Second)
+	})
+}
--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -134,7 +134,7 @@
 const (
 	take   verdict = iota // send to the best candidate
 	more                  // ask further candidates
-	pause                 // ask again after a short wait
+	again                 // ask again after a short wait
 	refuse                // no candidate can serve the request in time
 )
 
@@ -181,7 +181,7 @@
 	// Nothing fits now. An upstream may become free or fast while the target can still be met.
 	usual := time.Duration(workShare * float64(ch.target))
 	if elapsed < ch.patience && elapsed+usual < time.Duration(fitShare*float64(ch.target)) {
-		return pause
+		return again
 	}
 	if roomy && b.cost < left {
 		return take
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -120,7 +121,7 @@
 			p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "waited", time.Since(r.Start).String())
 			return nil, &Refused{fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay"), ch.comeBack(time.Now(), rand.Float64())}
 		}
-		if !wait(ctx, pauseTime) {
+		if !pause.For(ctx, pauseTime) {
 			return nil, context.Cause(ctx)
 		}
 	}
@@ -292,14 +293,3 @@
 		}
 	})
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
