Use the tables in force for each attempt of a request

Cause, found by reading: a later attempt used the pool as it was when the request came. A request whose first attempt hangs for two seconds or more could be sent to an upstream that left, or to a failure domain taken out, after the bound.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -87,8 +87,9 @@
 	x.mu.Lock()
 	exclude := x.tried[:len(x.tried):len(x.tried)]
 	x.mu.Unlock()
+	pool := x.currentPool()
 	permit, err := x.e.ports.Placement.Acquire(a.ctx, AcquireRequest{
-		Pool: &x.pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.age),
+		Pool: &pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.age),
 	})
 	if err != nil {
 		a.stop(failPlacement, err)
@@ -111,6 +112,17 @@
 	return a
 }
 
+// currentPool returns the request's pool as the tables have it now: an upstream
+// may have left since the request came, and a later attempt must not go to it.
+func (x *exchange) currentPool() table.Pool {
+	if tables := x.e.snapshots.Snapshot().Tables; tables != nil {
+		if pool, ok := tables.Pools[x.pool.Name]; ok {
+			return pool
+		}
+	}
+	return x.pool
+}
+
 var errCut = errors.New("the right to use the upstream was withdrawn")
 
 // watchCut ends the attempt when its permit is withdrawn.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -243,7 +243,7 @@
 	b := batch{returned: f.failing, listed: !f.listed}
 	asked := time.Now()
 	var err error
-	next := f.after
+	var next uint64
 	if b.listed {
 		b.entries, next, err = f.source.List(ctx, "")
 	} else {
