Keep large answers in the region while it has room

Operators pay that traffic by volume. Change: routes whose answers have 30 kB or more on average ask other regions only when their own would refuse. The test plays it without a network; without the change it fails (see its log).

--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -98,7 +98,7 @@
 	if a.permit == nil {
 		return
 	}
-	r := Result{Ending: e, FirstByte: a.firstByte}
+	r := Result{Ending: e, FirstByte: a.firstByte, BytesDown: a.down}
 	if !a.sentAt.IsZero() {
 		r.Total = time.Since(a.sentAt)
 	}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -73,6 +73,8 @@
 	FirstByte time.Duration
 	// Total is the time from sending to the end of the attempt.
 	Total time.Duration
+	// BytesDown counts the bytes of the answer's body.
+	BytesDown int64
 }
 
 // Observation is what one attempt showed about an upstream.
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -62,13 +62,13 @@
 func (p permit) Done(r entry.Result) {
 	switch {
 	case r.Ending == entry.EndLost, r.Ending == entry.EndLate, r.Ending == entry.EndAnswered && r.Status >= http.StatusInternalServerError:
-		p.Choice.Done(sampled.Failed)
+		p.Choice.Done(sampled.Failed, 0)
 	case r.Ending == entry.EndNotRun:
-		p.Choice.Done(sampled.Shed)
+		p.Choice.Done(sampled.Shed, 0)
 	case r.Ending == entry.EndAnswered:
-		p.Choice.Done(sampled.Answered)
+		p.Choice.Done(sampled.Answered, r.BytesDown)
 	default:
-		p.Choice.Done(sampled.Unknown)
+		p.Choice.Done(sampled.Unknown, 0)
 	}
 }
 
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -64,6 +64,7 @@
 	asker    Asker
 	log      logr.Logger
 	suspects *suspicions
+	sizes    *answerSizes
 	meter    meter
 
 	mu      sync.Mutex
@@ -74,7 +75,7 @@
 
 // New returns a policy.
 func New(place Place, asker Asker, log logr.Logger) *Policy {
-	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), pending: map[string]int{}, crowds: map[string]*pressure{}, coldAt: map[string]time.Time{}}
+	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), sizes: newAnswerSizes(), pending: map[string]int{}, crowds: map[string]*pressure{}, coldAt: map[string]time.Time{}}
 }
 
 // Choice is an upstream that was chosen. Done is called exactly once.
@@ -82,6 +83,7 @@
 	policy   *Policy
 	Upstream table.Upstream
 	Reading  Reading
+	route    string
 	once     sync.Once
 }
 
@@ -100,7 +102,14 @@
 			return nil, &Refused{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.comeBack(time.Now(), rand.Float64())}
 		}
 		rank(list)
-		v, b := p.pass(ctx, ch, r, list, &rounds)
+		near := len(list)
+		if p.sizes.heavy(r.Route.Name) {
+			near = nearest(list)
+		}
+		v, b := p.pass(ctx, ch, r, list[:near], &rounds)
+		if v == refuse && near < len(list) {
+			v, b = p.pass(ctx, ch, r, list[near:], &rounds)
+		}
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
@@ -109,7 +118,7 @@
 		}
 		switch {
 		case v == take:
-			if c := p.claim(b); c != nil {
+			if c := p.claim(b, r.Route.Name); c != nil {
 				p.meter.placed(r, time.Since(b.reading.At), rounds)
 				p.log.V(1).Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
 					"waited", time.Since(r.Start).String(), "running", b.reading.Running, "waiting", b.reading.Waiting,
@@ -249,7 +258,7 @@
 
 // claim counts the request at its upstream. It returns nil when another request
 // of this instance went to the same cold upstream meanwhile.
-func (p *Policy) claim(c *candidate) *Choice {
+func (p *Policy) claim(c *candidate, route string) *Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id := c.upstream.ID
@@ -260,7 +269,7 @@
 		p.coldAt[id] = time.Now()
 	}
 	p.pending[id]++
-	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading}
+	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: route}
 }
 
 // Ending is what a request showed about its upstream.
@@ -274,8 +283,8 @@
 	Shed                   // not run: refused, or not reached
 )
 
-// Done gives the choice back.
-func (c *Choice) Done(e Ending) {
+// Done gives the choice back. size is the number of bytes of a good answer.
+func (c *Choice) Done(e Ending, size int64) {
 	c.once.Do(func() {
 		p := c.policy
 		p.mu.Lock()
@@ -289,6 +298,7 @@
 		case Shed:
 			p.suspects.failed(c.Upstream.ID, shedWeight, time.Now())
 		case Answered:
+			p.sizes.note(c.route, size)
 			p.suspects.answered(c.Upstream.ID, time.Now())
 		}
 	})
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -121,6 +121,7 @@
 type simWorld struct {
 	pool    table.Pool
 	route   table.Route
+	size    int64 // of each answer
 	servers map[string]*simServer
 }
 
@@ -228,7 +229,7 @@
 	}
 	time.Sleep(time.Millisecond)
 	ok := w.servers[c.Upstream.ID].run(ctx, time.Now(), work)
-	c.Done(map[bool]Ending{true: Answered, false: Failed}[ok])
+	c.Done(map[bool]Ending{true: Answered, false: Failed}[ok], w.size)
 	switch {
 	case !ok:
 		return func(r *result) *int { return &r.failed }
@@ -302,6 +303,40 @@
 	})
 }
 
+// Guards against large answers that cross regions, which operators pay by volume,
+// while the own region has room; and against requests that fail when it has none.
+func TestLargeAnswersStayInTheRegion(t *testing.T) {
+	for _, dark := range []bool{false, true} {
+		t.Run(fmt.Sprint(dark), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newSimWorld(16, 0.25)
+				w.size = 90_000
+				for i := range w.pool.Upstreams {
+					if u := &w.pool.Upstreams[i]; i%4 != 0 {
+						u.Region, u.FailureDomain = "south", "south-1"
+					} else {
+						w.servers[u.ID].dark = dark
+					}
+				}
+				res := w.play(4, 12, 20*time.Second, 13)
+				far := 0
+				for _, u := range w.pool.Upstreams {
+					if u.Region == "south" {
+						far += len(w.servers[u.ID].arrivals)
+					}
+				}
+				t.Logf("%+v, %d far", res, far)
+				if dark {
+					is.True(res.inTarget+res.late >= res.asked*95/100)
+					return
+				}
+				is.True(far <= res.asked/100+10) // ten at the start, while the size is not known
+			})
+		})
+	}
+}
+
 // Guards against the crash of a cold upstream: in no second may it get more than
 // 1.5 times the 7 requests that it bears and 5 more, over all instances, also
 // while most upstreams of the pool are cold.
