--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -310,7 +310,7 @@
 		t.Run(fmt.Sprint(dark), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w := newSimWorld(16, 0.25)
+				w := newSimWorld(8, 0.25)
 				w.size = 90_000
 				for i := range w.pool.Upstreams {
 					if u := &w.pool.Upstreams[i]; i%4 != 0 {
@@ -319,7 +319,7 @@
 						w.servers[u.ID].dark = dark
 					}
 				}
-				res := w.play(4, 12, 20*time.Second, 13)
+				res := w.play(4, 12, 40*time.Second, 13)
 				far := 0
 				for _, u := range w.pool.Upstreams {
 					if u.Region == "south" {
