--- a/internal/entry/protocol_test.go
+++ b/internal/entry/protocol_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/internal/standin"
-	"github.com/turmericsail/turmericsail/pkg/table"
 	"github.com/turmericsail/turmericsail/internal/tlsconf/tlstest"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // Guards against HTTP/2 callers that are not served, over TLS and in plain text.
