Share the settings of the peer transport; drop state that is not used

The gateway opened the peers' listener and its credentials as the daemon does: one function of the daemon serves both, and its ID and credentials are no longer exported on their own. The notices of both leavers wait by pkg/pause. Behaviour is unchanged.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,8 +62,7 @@
 	return hex.EncodeToString(b)
 }
 
-// InstanceID returns a new ID for an instance with the given settings.
-func InstanceID(cfg settings.Settings) peer.InstanceID {
+func instanceID(cfg settings.Settings) peer.InstanceID {
 	return peer.InstanceID(cfg.Instance + "/" + newIncarnation())
 }
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/quarantine"
 )
@@ -101,10 +102,7 @@
 	if err := l.members.Leave(ctx); err != nil {
 		l.log.Info("the other instances were not told that this one is leaving", "error", err.Error())
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(l.cfg.Shutdown.Notice.Std()):
-	}
+	pause.For(ctx, l.cfg.Shutdown.Notice.Std())
 	return nil
 }
 
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -35,30 +35,31 @@
 
 // Provision implements kernel.Provisioner.
 func (p *peers) Provision(*kernel.Kernel) error {
-	s := peer.Settings{ID: InstanceID(p.cfg)}
-	var err error
-	if s.TLS, s.VerifyPeer, err = PeerCredentials(p.cfg); err != nil {
-		return err
-	}
-	listener, err := net.Listen("tcp", p.cfg.Peers.Listen)
+	s, err := PeerSettings(p.cfg)
 	if err != nil {
-		return fault.Wrap(fault.Unavailable, err, "the peers' listener cannot be opened", "correct $.peers.listen or end the process that has the address")
+		return err
 	}
-	s.Listener = listener
 	p.TCPTransport, err = peer.New(s, p.log)
 	return err
 }
 
-// PeerCredentials returns what the settings say about TLS between instances; nil means plaintext.
-func PeerCredentials(cfg settings.Settings) (*tls.Config, func(peer.InstanceID, tls.ConnectionState) error, error) {
-	if cfg.Peers.TLS == nil {
-		return nil, nil, nil
+// PeerSettings returns the settings of a transport with a new instance ID, the
+// credentials of the instance's settings and an open listener.
+func PeerSettings(cfg settings.Settings) (peer.Settings, error) {
+	s := peer.Settings{ID: instanceID(cfg)}
+	if files := cfg.Peers.TLS; files != nil {
+		conf, err := tlsconf.Peer(*files)
+		if err != nil {
+			return s, err
+		}
+		s.TLS, s.VerifyPeer = conf, verifyName
 	}
-	conf, err := tlsconf.Peer(*cfg.Peers.TLS)
+	listener, err := net.Listen("tcp", cfg.Peers.Listen)
 	if err != nil {
-		return nil, nil, err
+		return s, fault.Wrap(fault.Unavailable, err, "the peers' listener cannot be opened", "correct $.peers.listen or end the process that has the address")
 	}
-	return conf, verifyName, nil
+	s.Listener = listener
+	return s, nil
 }
 
 // onCallPath are the services whose messages a request waits for, or that move
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -168,7 +168,7 @@
 		if f.reading.Load() || !f.listed {
 			return false
 		}
-		reader, ok := f.pickReader(f.avoid, time.Now())
+		reader, ok := f.pickReader(time.Now())
 		if !ok {
 			return false
 		}
@@ -320,7 +320,7 @@
 			f.take(m, b, time.Now())
 		}
 		now := time.Now()
-		next, _ := m.expire(now)
+		next := m.expire(now)
 		due = nil
 		if !next.IsZero() {
 			due = time.After(next.Sub(now))
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -126,19 +126,18 @@
 }
 
 // expire carries out the removals that waited long enough. It returns the time of
-// the next one, or zero, and whether anything was removed.
-func (m *mirror) expire(now time.Time) (next time.Time, changed bool) {
+// the next one, or zero.
+func (m *mirror) expire(now time.Time) (next time.Time) {
 	for key, r := range m.records {
 		switch {
 		case r.removeAt.IsZero():
 		case !now.Before(r.removeAt):
 			delete(m.records, key)
-			changed = true
 		case next.IsZero() || r.removeAt.Before(next):
 			next = r.removeAt
 		}
 	}
-	return next, changed
+	return next
 }
 
 // readers returns the holders of places by key.
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -156,7 +156,7 @@
 
 // pickReader returns a reader to ask: of the own region if there is one, and none
 // that failed a short time ago.
-func (f *Follower) pickReader(avoid map[peer.InstanceID]time.Time, now time.Time) (Reader, bool) {
+func (f *Follower) pickReader(now time.Time) (Reader, bool) {
 	known := f.readers.Load()
 	if known == nil || f.peers == nil {
 		return Reader{}, false
@@ -164,7 +164,7 @@
 	var best Reader
 	found := false
 	for _, r := range *known {
-		if r.ID == f.self.ID || now.Before(avoid[r.ID]) {
+		if r.ID == f.self.ID || now.Before(f.avoid[r.ID]) {
 			continue
 		}
 		near, nearest := r.Region == f.self.Region, found && best.Region == f.self.Region
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,7 @@
-// Package gateway assembles an instance that runs on the users' platform. It needs
-// no peers: the tables come from the platform's store, upstreams are asked for
-// their load when a request is placed, and budgets are shares that add up over all
-// instances. The data path is the one of every instance, internal/entry.
+// Package gateway assembles an instance that runs on the users' platform. The
+// tables come from the platform's store, which instances read for each other;
+// upstreams are asked for their load when a request is placed, and budgets are
+// shares that add up over all instances. The data path is the one of every instance, internal/entry.
 package gateway
 
 import (
@@ -16,6 +16,7 @@
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/platform"
 )
 
@@ -41,7 +42,7 @@
 	}{
 		{PeerTransport, &peers{cfg: cfg, log: log.WithName(PeerTransport)}},
 		{ControlFollow, &follower{cfg: cfg, log: log.WithName(ControlFollow)}},
-		{EntryHTTP, &callers{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
+		{EntryHTTP, &callers{cfg: cfg, budgets: newBudgets(bounds, cfg.Limits.MaxInstances), log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &operators{cfg: cfg}},
 		{EntryLeave, &leaver{notice: cfg.Shutdown.Notice.Std(), log: log.WithName(EntryLeave)}},
 	} {
@@ -78,11 +79,9 @@
 // callers is the data path with its ports.
 type callers struct {
 	*entry.Entry
-	cfg    settings.Settings
-	bounds platform.Bounds
-	log    logr.Logger
-
+	cfg     settings.Settings
 	budgets *budgets
+	log     logr.Logger
 }
 
 var (
@@ -97,11 +96,9 @@
 	if err != nil {
 		return err
 	}
-	extra := newBudgets(c.bounds, c.cfg.Limits.MaxInstances)
-	c.budgets = extra
 	place := &placer{}
 	c.Entry = entry.New(c.cfg, tables, entry.Ports{
-		Placement: place, Retries: extra, Hedger: extra, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1,
+		Placement: place, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1,
 	}, c.log)
 	place.provision(c.cfg, c.Entry, c.log)
 	return nil
@@ -156,9 +153,6 @@
 	l.log.Info("leaving", "running", l.entry.Running(), "notice", l.notice.String())
 	l.admin.SetLeaving()
 	l.entry.SetLeaving()
-	select {
-	case <-ctx.Done():
-	case <-time.After(l.notice):
-	}
+	pause.For(ctx, l.notice)
 	return nil
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,7 +10,6 @@
 	"github.com/turmericsail/turmericsail/internal/daemon"
 	"github.com/turmericsail/turmericsail/internal/follow"
 	"github.com/turmericsail/turmericsail/internal/settings"
-	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/table"
@@ -45,16 +44,14 @@
 	if p.cfg.Peers.Listen == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp", p.cfg.Peers.Listen)
+	s, err := daemon.PeerSettings(p.cfg)
 	if err != nil {
-		return fault.Wrap(fault.Unavailable, err, "the peers' listener cannot be opened", "correct $.peers.listen or end the process that has the address")
+		return err
 	}
 	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerKeepAlive, Interval: peerKeepAlive, Count: peerKeepAliveProbes}}
-	s := peer.Settings{ID: daemon.InstanceID(p.cfg), Listener: listener, ControlRate: peerRate, ConnectTimeout: table.Duration(peerConnect), Dial: func(ctx context.Context, address string) (net.Conn, error) {
+	s.ControlRate, s.ConnectTimeout = peerRate, table.Duration(peerConnect)
+	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
-	}}
-	if s.TLS, s.VerifyPeer, err = daemon.PeerCredentials(p.cfg); err != nil {
-		return err
 	}
 	p.TCPTransport, err = peer.New(s, p.log)
 	return err
