Take a started request off the queue when a report brings its permit

Cause: an entry may start a queued request on a slot of its own (Next). Its report can reach the broker before the PermitDone that names the start. The broker then counted the permit and left the request in the queue; the next free slot was given to it as well, under the same key. One of the two slots was in use for ever. On a cold upstream, whose limit is 1, it never served again: this is the "u2 serves" of test/e2e.TestColdAllowance.

Ruled out: the quota allocator (it granted), the cold-start tracker (it was asked and had nothing to count), the adaptive limit (8).

The new test fails without the change (1 slot free in place of 2). The model of the broker now checks that each slot in use has a permit.

--- a/pkg/placement/broker.go
+++ b/pkg/placement/broker.go
@@ -674,6 +674,9 @@
 	if s == nil || e.finished[key.id] || e.finishedBefore[key.id] {
 		return
 	}
+	// The entry has started a queued request after Next, and this report overtook
+	// the PermitDone that says so. Left in the queue, the request would get a second slot.
+	b.unqueue(key)
 	b.occupy(now, key, s)
 }
 
--- a/pkg/placement/broker_test.go
+++ b/pkg/placement/broker_test.go
@@ -85,6 +85,7 @@
 		m.network = append(m.network, packet{"x/1", s.To, s.Message})
 	}
 	m.known = maps.Clone(m.broker.permits)
+	m.checkSlots(t)
 	for _, i := range m.live {
 		sends, decisions := m.clients[i.ID].Take()
 		for _, s := range sends {
@@ -103,6 +104,19 @@
 	}
 }
 
+// checkSlots checks that every slot in use has its permit: one without is never free again.
+func (m *model) checkSlots(t *rapid.T) {
+	used := map[*slot]int{}
+	for _, p := range m.broker.permits {
+		used[p.slot]++
+	}
+	for id, s := range m.broker.slots {
+		if s.inUse != used[s] {
+			t.Fatalf("%d slots of %s are in use by %d permits", s.inUse, id, used[s])
+		}
+	}
+}
+
 // checkGrant checks a grant that is not the repeat of an earlier one.
 func (m *model) checkGrant(t *rapid.T, g *peerpb.Grant) {
 	if slices.Contains(m.pool.UpstreamsOut, g.Upstream) {
@@ -268,6 +282,34 @@
 	is.Equal(ask(0), 4) // one slot was free
 }
 
+// Guards against a slot that stays in use for ever: an entry starts a queued
+// request on a slot of its own after Next, and its report reaches the broker
+// before the PermitDone that says so.
+func TestReportOvertakesTheStartOfAQueuedRequest(t *testing.T) {
+	is := is.New(t)
+	now := simEpoch
+	b := NewBroker(now, BrokerSettings{Self: "x/1", Region: "r", FailureDomain: "d", Queue: queue.DefaultSettings(), Settle: DefaultSettle})
+	b.SetPool(now, table.Pool{Name: "p", Slots: 2, Upstreams: []table.Upstream{{ID: "a", Region: "r", FailureDomain: "d"}}})
+	b.SetInstances(now, []Instance{{"e/1", "r", "d"}})
+	now = now.Add(2 * DefaultSettle)
+	acquire := func(id uint64) {
+		b.Receive(now, "e/1", &peerpb.PlacementMessage{Body: &peerpb.PlacementMessage_Acquire{Acquire: &peerpb.Acquire{Id: id}}})
+	}
+	done := func(id, started uint64) {
+		b.Receive(now, "e/1", &peerpb.PlacementMessage{Body: &peerpb.PlacementMessage_Done{Done: &peerpb.PermitDone{Id: id, Upstream: "a", Started: started}}})
+	}
+	acquire(1)
+	acquire(2)
+	acquire(3) // waits
+	b.Receive(now, "e/1", &peerpb.PlacementMessage{Body: &peerpb.PlacementMessage_Report{Report: &peerpb.PermitReport{
+		Through: 3, Held: []*peerpb.Grant{{Id: 2, Upstream: "a"}, {Id: 3, Upstream: "a"}}}}})
+	done(2, 0)
+	done(1, 3)
+	done(3, 0)
+	is.Equal(b.Status().Queued, uint32(0))
+	is.Equal(b.Status().Free, uint32(2))
+}
+
 // Guards against a fallback that ignores the static share when the broker is silent.
 func TestSilentBrokerIsReplacedByTheStaticShare(t *testing.T) {
 	is := is.New(t)
