Count the loss of an upstream although its batch holds earlier good answers

Cause: a report of lost connections was dropped when the same batch held a good answer, and a warm upstream's batch holds up to five seconds of them. A good answer of another instance counted from the arrival of its batch, not from its own time.

A batch now tells how old its last good answer is and whether connections broke after it. The tracker keeps a loss until a later good answer disproves it or the loss window has passed, and a meter stays cold after a loss until it sees a good answer. The new tests fail without the change; the tests for an entry that is cut off alone pass as before.

--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -39,7 +39,7 @@
 	case o.Result.Status != 0:
 		meter.Answer(coldstart.Answer{
 			StartID: load.StartID, Cold: reported && load.State == probe.StateCold,
-			Good: o.Result.Ending == entry.EndAnswered && o.Result.Status < http.StatusInternalServerError, Latency: o.Result.FirstByte,
+			Good: o.Result.Ending == entry.EndAnswered && o.Result.Status < http.StatusInternalServerError, Latency: o.Result.FirstByte, At: now,
 		})
 	}
 }
--- a/pkg/coldstart/coldstart.go
+++ b/pkg/coldstart/coldstart.go
@@ -47,8 +47,8 @@
 	// LatencyPause is the least time between falls for latency alone, so that a
 	// pool under overload does not lose its capacity again and again. Default 30s.
 	LatencyPause table.Duration `json:"latency_pause"`
-	// LossWindow is how long a good answer proves that an upstream lives although
-	// another instance lost its connections. Default 1s.
+	// LossWindow is how long a good answer speaks for an upstream although another
+	// instance lost its connections. Default 1s.
 	LossWindow table.Duration `json:"loss_window"`
 	// ColdInterval is the time between reports of a cold upstream. Default 250ms.
 	ColdInterval table.Duration `json:"cold_interval"`
@@ -128,7 +128,10 @@
 	Good         int
 	Bad          int
 	Latency      time.Duration // mean of the good answers
-	Lost         bool
+	// GoodAge is the time since the last good answer.
+	GoodAge time.Duration
+	// Lost tells that connections broke after the last good answer.
+	Lost bool
 }
 
 // State is what the allocator says about an upstream.
--- a/pkg/coldstart/message.go
+++ b/pkg/coldstart/message.go
@@ -11,7 +11,7 @@
 	maxCount   = 1 << 20
 	maxLevel   = 1 << 14
 	maxStartID = 128
-	maxLatency = 10 * time.Minute
+	maxLatency = 10 * time.Minute // of one answer, and of the age of the last one
 )
 
 func batchToMessage(k Key, b Batch) *peerpb.ColdStartBatch {
@@ -20,6 +20,7 @@
 		ReportedCold: b.ReportedCold, KnownWarm: b.KnownWarm, Generation: b.Generation,
 		Level: uint32(b.Level), Good: uint32(b.Good), Bad: uint32(b.Bad),
 		MeanLatencyMicros: uint64(b.Latency.Microseconds()), Lost: b.Lost,
+		GoodAgeMicros: uint64(max(0, b.GoodAge.Microseconds())),
 	}
 }
 
@@ -30,6 +31,7 @@
 		ReportedCold: m.GetReportedCold(), KnownWarm: m.GetKnownWarm(), Generation: m.GetGeneration(),
 		Level: int(min(m.GetLevel(), maxLevel)), Good: int(min(m.GetGood(), maxCount)), Bad: int(min(m.GetBad(), maxCount)),
 		Latency: time.Duration(min(m.GetMeanLatencyMicros(), uint64(maxLatency/time.Microsecond))) * time.Microsecond,
+		GoodAge: time.Duration(min(m.GetGoodAgeMicros(), uint64(maxLatency/time.Microsecond))) * time.Microsecond,
 		Lost:    m.GetLost(),
 	}
 }
--- a/pkg/coldstart/meter.go
+++ b/pkg/coldstart/meter.go
@@ -19,6 +19,7 @@
 	Cold    bool // the report header says cold
 	Good    bool // the answer is a success of the upstream
 	Latency time.Duration
+	At      time.Time // when it came in
 }
 
 // Meter counts the answers of one upstream at one instance. Answer, Lost and
@@ -36,6 +37,8 @@
 	baseline float64
 	recent   time.Duration
 	samples  int
+	goodAt   time.Time // of the last good answer
+	lost     bool      // connections broke after it
 }
 
 // NewMeter returns a meter that takes its upstream for cold.
@@ -61,6 +64,7 @@
 		return
 	}
 	m.batch.Good++
+	m.goodAt, m.lost, m.batch.Lost = a.At, false, false
 	m.sum += a.Latency
 	m.shift(a.Latency)
 }
@@ -70,7 +74,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.open()
-	m.batch.Lost = true
+	m.lost, m.batch.Lost = true, true
 	m.sign()
 }
 
@@ -145,6 +149,9 @@
 	if b.Good > 0 {
 		b.Latency = m.sum / time.Duration(b.Good)
 	}
+	if !m.goodAt.IsZero() {
+		b.GoodAge = max(0, now.Sub(m.goodAt))
+	}
 	b.KnownWarm = m.state.Warm && m.warm.Load()
 	m.batch = Batch{Sequence: b.Sequence, StartID: b.StartID}
 	m.sum, m.urgent, m.sentAt = 0, false, now
@@ -153,7 +160,8 @@
 
 // Apply takes the reply to the batch with the given sequence number. A reply to
 // an earlier batch is ignored, and a warm state only counts for the start that
-// this meter sees and when no sign came in since the batch.
+// this meter sees, when no sign came in since the batch and when no connection
+// broke after the last good answer.
 func (m *Meter) Apply(sequence uint64, s State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -162,7 +170,7 @@
 	}
 	m.state = s
 	same := s.StartID == "" || m.batch.StartID == "" || s.StartID == m.batch.StartID
-	m.warm.Store(s.Warm && same && !m.batch.Lost && !m.batch.ReportedCold)
+	m.warm.Store(s.Warm && same && !m.lost && !m.batch.ReportedCold)
 }
 
 // Fall applies the news of the allocator that the upstream is cold again.
--- a/pkg/coldstart/tracker.go
+++ b/pkg/coldstart/tracker.go
@@ -37,6 +37,7 @@
 	shifted   int     // successive batches with a raised latency
 	lastShift time.Time
 	lastGood  map[peer.InstanceID]time.Time
+	lostAt    time.Time // when a loss was reported that no later good answer has disproved; zero if none
 }
 
 // NewTracker returns a tracker of an upstream without history; it is cold.
@@ -68,7 +69,7 @@
 	// The clock makes generations of successive allocators differ.
 	generation := max(uint64(now.UnixNano()), t.state.Generation+1)
 	t.state = State{Limit: t.ramp.Allowance, StartID: t.state.StartID, Generation: generation, Cause: cause, Since: now}
-	t.good, t.shifted = 0, 0
+	t.good, t.shifted, t.lostAt = 0, 0, time.Time{}
 }
 
 // Observe applies a batch of one reporter.
@@ -82,10 +83,9 @@
 		return
 	}
 	if b.Good > 0 {
-		t.lastGood[from] = now
+		t.lastGood[from] = now.Add(-b.GoodAge)
 	}
-	if b.Lost && b.Good == 0 && !t.livesElsewhere(now, from) && b.Generation == t.state.Generation {
-		t.fall(now, CauseLost)
+	if t.checkLoss(now, from, b) {
 		return
 	}
 	if t.inherit(now, b) || b.Generation != t.state.Generation {
@@ -128,14 +128,32 @@
 	return true
 }
 
-// livesElsewhere reports whether another instance had a good answer just now, so
-// that a loss of connections lies with the reporter.
-func (t *Tracker) livesElsewhere(now time.Time, from peer.InstanceID) bool {
-	for id, at := range t.lastGood {
-		if id != from && now.Sub(at) <= t.settings.LossWindow.Std() {
-			return true
+// checkLoss applies the loss of connections and reports whether the upstream fell.
+// A loss is kept until a later good answer shows that the upstream lives: answers
+// from just before the upstream ended say nothing about it.
+func (t *Tracker) checkLoss(now time.Time, from peer.InstanceID, b Batch) bool {
+	if b.Lost && b.Generation == t.state.Generation {
+		delete(t.lastGood, from)
+		if t.lostAt.IsZero() {
+			t.lostAt = now
+		}
+	}
+	if t.lostAt.IsZero() {
+		return false
+	}
+	var newest time.Time
+	for _, at := range t.lastGood {
+		if at.After(newest) {
+			newest = at
 		}
 	}
+	switch {
+	case newest.After(t.lostAt):
+		t.lostAt = time.Time{}
+	case now.Sub(newest) > t.settings.LossWindow.Std():
+		t.fall(now, CauseLost)
+		return true
+	}
 	return false
 }
 
--- a/pkg/coldstart/tracker_test.go
+++ b/pkg/coldstart/tracker_test.go
@@ -82,6 +82,7 @@
 		{"one slow batch", []Batch{{Good: 8, Latency: 200 * time.Millisecond}, {Good: 8, Latency: 10 * time.Millisecond}}, ""},
 		{"few slow answers", []Batch{{Good: 3, Latency: time.Second}, {Good: 3, Latency: time.Second}}, ""},
 		{"lost", []Batch{{Lost: true}}, CauseLost},
+		{"lost after good answers", []Batch{{StartID: "s1", Good: 8, GoodAge: 300 * time.Millisecond, Lost: true}}, CauseLost},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -120,6 +121,75 @@
 	is.True(f.t.State().Warm)
 }
 
+// Guards against an upstream that ends and stays warm because each instance's
+// batch still holds good answers from before the end.
+func TestLossAtEveryEntry(t *testing.T) {
+	is := is.New(t)
+	f := warmed()
+	f.send("a/1", Batch{StartID: "s1", Good: 5, GoodAge: 100 * time.Millisecond, Lost: true})
+	f.send("b/1", Batch{StartID: "s1", Good: 5, GoodAge: 200 * time.Millisecond, Lost: true})
+	is.Equal(f.t.State().Cause, CauseLost)
+	is.Equal(f.t.Limit(), 1)
+}
+
+// Guards against a loss that is forgotten because another instance had a good
+// answer shortly before and sends nothing to the upstream since.
+func TestLossWithoutLaterAnswers(t *testing.T) {
+	is := is.New(t)
+	f := warmed()
+	f.send("b/1", Batch{StartID: "s1", Good: 5, GoodAge: 200 * time.Millisecond})
+	f.send("a/1", Batch{StartID: "s1", Good: 5, GoodAge: 100 * time.Millisecond, Lost: true})
+	is.True(f.t.State().Warm) // the answer of the other instance is recent
+	f.now = f.now.Add(DefaultSettings().LossWindow.Std())
+	f.send("a/1", Batch{StartID: "s1"}) // asks again
+	is.Equal(f.t.State().Cause, CauseLost)
+}
+
+// Guards against a broken connection that makes an upstream cold although good
+// answers follow.
+func TestLossBeforeLaterAnswers(t *testing.T) {
+	is := is.New(t)
+	f := warmed()
+	f.send("b/1", Batch{StartID: "s1", Good: 5})
+	f.send("a/1", Batch{StartID: "s1", Lost: true})
+	f.send("b/1", Batch{StartID: "s1", Good: 5})
+	f.now = f.now.Add(2 * DefaultSettings().LossWindow.Std())
+	f.send("a/1", Batch{StartID: "s1", Good: 1})
+	is.True(f.t.State().Warm)
+}
+
+// Guards against a meter that takes its upstream for warm after a loss because the
+// allocator, which has not judged the loss yet, still says so.
+func TestMeterStaysColdUntilAnAnswerAfterTheLoss(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := NewMeter(DefaultSettings())
+	good := Answer{StartID: "s1", Good: true, Latency: time.Millisecond, At: now}
+	warm := State{Warm: true, StartID: "s1", Generation: 7}
+	take := func() Batch {
+		now = now.Add(5 * time.Second)
+		b, due := m.Take(now)
+		is.True(due)
+		return b
+	}
+	m.Answer(good)
+	m.Apply(take().Sequence, warm)
+	is.True(m.Warm())
+	m.Answer(good)
+	m.Lost()
+	b := take()
+	is.True(b.Lost)
+	is.Equal(b.Good, 1)
+	m.Apply(b.Sequence, warm)
+	is.True(!m.Warm())
+	good.At = now
+	m.Answer(good)
+	b = take()
+	is.True(!b.Lost)
+	m.Apply(b.Sequence, warm)
+	is.True(m.Warm())
+}
+
 // Guards against one cut-off entry that throttles an upstream for all others.
 func TestLossAtOneEntryOnly(t *testing.T) {
 	is := is.New(t)
