--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -86,7 +86,7 @@
 // with a unit of its allowance; without one the next upstream is asked for.
 func (p policy) Acquire(ctx context.Context, r entry.AcquireRequest) (entry.Permit, error) {
 	request := placement.Request{
-		Pool: r.Pool.Name, Tenant: r.Tenant, Class: r.Class, HomeRegions: r.Route.HomeRegions, NoWait: r.Hedge,
+		Pool: r.Pool.Name, Workspace: r.Workspace, Class: r.Class, HomeRegions: r.Route.HomeRegions, NoWait: r.Hedge,
 	}
 	limit := time.Now().Add(patience)
 	for {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -91,7 +91,7 @@
 	pool := x.currentPool()
 	exclude = withoutLosses(&pool, &x.route, exclude, x.avoid)
 	permit, err := x.e.ports.Placement.Acquire(a.ctx, AcquireRequest{
-		Pool: &pool, Route: &x.route, Class: x.route.Class, Tenant: x.tenant, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.age),
+		Pool: &pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.age),
 	})
 	if err != nil {
 		a.stop(failPlacement, err)
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -38,19 +38,19 @@
 	relayed bool // came from an entry outside the home regions
 	outer   bool // is passed on to an entry inside the home regions
 
-	route    table.Route
-	pool     table.Pool
-	tenant   string
-	id       string
-	start    time.Time
-	deadline time.Time
-	age      time.Duration // how long the caller has been trying, as far as its deadline tells
-	depth    int
-	body     *requestBody
-	header   http.Header
-	print    Fingerprint
-	admitted func()   // gives back what quarantine holds for the request
-	avoid    []string // upstreams that were lost while they ran the request
+	route     table.Route
+	pool      table.Pool
+	workspace string
+	id        string
+	start     time.Time
+	deadline  time.Time
+	age       time.Duration // how long the caller has been trying, as far as its deadline tells
+	depth     int
+	body      *requestBody
+	header    http.Header
+	print     Fingerprint
+	admitted  func()   // gives back what quarantine holds for the request
+	avoid     []string // upstreams that were lost while they ran the request
 
 	identity string
 	ticket   Ticket
@@ -183,10 +183,10 @@
 	if x.pool, ok = tables.Pools[x.route.Pool]; !ok {
 		return refuseNoPool()
 	}
-	x.tenant = x.route.Tenant
-	if name := x.route.TenantHeader; name != "" {
+	x.workspace = x.route.Workspace
+	if name := x.route.WorkspaceHeader; name != "" {
 		if v := x.r.Header.Get(name); v != "" {
-			x.tenant = v
+			x.workspace = v
 		}
 	}
 	return nil
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -163,6 +163,6 @@
 	return &StoredAnswer{Status: resp.StatusCode, Header: h, Body: body}
 }
 
-// claimIdentity keeps the identities of tenants apart, so that no tenant gets the
+// claimIdentity keeps the identities of workspaces apart, so that no workspace gets the
 // stored answer of another.
-func (x *exchange) claimIdentity() string { return x.tenant + "\x00" + x.identity }
+func (x *exchange) claimIdentity() string { return x.workspace + "\x00" + x.identity }
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -11,10 +11,10 @@
 
 // AcquireRequest describes the attempt for which an upstream is wanted.
 type AcquireRequest struct {
-	Pool   *table.Pool
-	Route  *table.Route
-	Class  table.Class
-	Tenant string
+	Pool      *table.Pool
+	Route     *table.Route
+	Class     table.Class
+	Workspace string
 	// Exclude lists the IDs of upstreams that earlier attempts of the request used.
 	Exclude []string
 	// Hedge is set for the second copy of a request; such a copy should not queue.
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -130,7 +130,7 @@
 	var lines bytes.Buffer
 	up := standin.NewUpstream(standin.UpstreamConfig{ID: "a", Slots: 4})
 	route := testRoute()
-	route.Tenant = "acme"
+	route.Workspace = "acme"
 	h := newHarness(t, route, []string{serveUpstream(t, up)}, withSettings(func(s *settings.Settings) { s.Log.Requests = true }))
 	h.entry.log = funcr.NewJSON(func(line string) { fmt.Fprintln(&lines, line) }, funcr.Options{})
 	is.Equal(h.do("GET", "/secret-path", nil, "Authorization", "secret-token", HeaderRequestID, "r-9").status, 200)
@@ -142,11 +142,11 @@
 }
 
 // Guards against unbounded series from a header that callers choose.
-func TestTenantSeriesAreBounded(t *testing.T) {
+func TestWorkspaceSeriesAreBounded(t *testing.T) {
 	is := is.New(t)
 	m := newTelemetry()
-	for i := range 10 * maxTenants {
+	for i := range 10 * maxWorkspaces {
 		m.duration("bounded", fmt.Sprintf("tenant-%d", i), "normal")
 	}
-	is.Equal(len(*m.requests.Load()), maxTenants+1)
+	is.Equal(len(*m.requests.Load()), maxWorkspaces+1)
 }
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -9,58 +9,58 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// maxTenants bounds the tenants that have series of their own. Tenant names come
+// maxWorkspaces bounds the workspaces that have series of their own. Workspace names come
 // from a header, so a caller could otherwise make as many series as it likes.
-const maxTenants = 100
+const maxWorkspaces = 100
 
-// otherTenants labels the requests of tenants above maxTenants.
-const otherTenants = "other"
+// otherWorkspaces labels the requests of workspaces above maxWorkspaces.
+const otherWorkspaces = "other"
 
-type seriesKey struct{ route, tenant, class string }
+type seriesKey struct{ route, workspace, class string }
 
 // telemetry holds the metrics of the data path. Series are found without a lock.
 type telemetry struct {
-	mu       sync.Mutex
-	requests atomic.Pointer[map[seriesKey]*metrics.Histogram]
-	tenants  atomic.Pointer[map[string]bool]
-	counters sync.Map // name to *metrics.Counter
+	mu         sync.Mutex
+	requests   atomic.Pointer[map[seriesKey]*metrics.Histogram]
+	workspaces atomic.Pointer[map[string]bool]
+	counters   sync.Map // name to *metrics.Counter
 }
 
 func newTelemetry() *telemetry {
 	t := &telemetry{}
 	t.requests.Store(&map[seriesKey]*metrics.Histogram{})
-	t.tenants.Store(&map[string]bool{})
+	t.workspaces.Store(&map[string]bool{})
 	return t
 }
 
-// duration returns the histogram of a route and tenant.
-func (t *telemetry) duration(route, tenant, class string) *metrics.Histogram {
-	if tenant != "" && !t.known(tenant) {
-		tenant = otherTenants
+// duration returns the histogram of a route and workspace.
+func (t *telemetry) duration(route, workspace, class string) *metrics.Histogram {
+	if workspace != "" && !t.known(workspace) {
+		workspace = otherWorkspaces
 	}
-	key := seriesKey{route, tenant, class}
+	key := seriesKey{route, workspace, class}
 	if h := (*t.requests.Load())[key]; h != nil {
 		return h
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := metrics.GetOrCreateHistogram(fmt.Sprintf("turmericsail_request_duration_seconds{route=%q,tenant=%q,class=%q}", route, tenant, class))
+	h := metrics.GetOrCreateHistogram(fmt.Sprintf("turmericsail_request_duration_seconds{route=%q,tenant=%q,class=%q}", route, workspace, class))
 	t.requests.Store(with(*t.requests.Load(), key, h))
 	return h
 }
 
-// known admits the first maxTenants tenants.
-func (t *telemetry) known(tenant string) bool {
-	if (*t.tenants.Load())[tenant] {
+// known admits the first maxWorkspaces workspaces.
+func (t *telemetry) known(workspace string) bool {
+	if (*t.workspaces.Load())[workspace] {
 		return true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	names := *t.tenants.Load()
-	if !names[tenant] && len(names) >= maxTenants {
+	names := *t.workspaces.Load()
+	if !names[workspace] && len(names) >= maxWorkspaces {
 		return false
 	}
-	t.tenants.Store(with(names, tenant, true))
+	t.workspaces.Store(with(names, workspace, true))
 	return true
 }
 
@@ -129,7 +129,7 @@
 	case x.outer:
 		m.duration(x.route.Name, "", "").Update(took.Seconds())
 	case x.route.Name != "":
-		m.duration(x.route.Name, x.tenant, string(x.route.Class)).Update(took.Seconds())
+		m.duration(x.route.Name, x.workspace, string(x.route.Class)).Update(took.Seconds())
 	}
 	if x.report.refusal != "" {
 		m.refusals(x.report.refusal).Inc()
@@ -170,7 +170,7 @@
 	if x.report.refusal == "" && !x.report.abort && x.report.status < 300 {
 		log = log.V(x.e.routine)
 	}
-	log.Info("request", "request", x.id, "tenant", x.tenant, "route", x.route.Name, "upstream", x.report.upstream,
+	log.Info("request", "request", x.id, "tenant", x.workspace, "route", x.route.Name, "upstream", x.report.upstream,
 		"status", x.report.status, "outcome", x.report.outcome, "refusal", x.report.refusal, "aborted", x.report.abort,
 		"attempts", attempts, "duration", took.String(), "bytes_up", x.report.up, "bytes_down", x.report.down)
 }
--- a/pkg/placement/broker.go
+++ b/pkg/placement/broker.go
@@ -313,7 +313,7 @@
 		b.redirect(key, n)
 		return
 	}
-	it := &queue.Item[waiting]{Tenant: r.Tenant, Class: table.Class(r.Class),
+	it := &queue.Item[waiting]{Workspace: r.Workspace, Class: table.Class(r.Class),
 		Began: now.Add(-time.Duration(r.AgeUs) * time.Microsecond), Value: waiting{key: key, request: r}}
 	if r.BudgetUs > 0 {
 		it.Deadline = now.Add(time.Duration(r.BudgetUs) * time.Microsecond)
@@ -423,7 +423,7 @@
 	if b.barred(r) {
 		return time.Hour
 	}
-	return b.queue.Wait(table.Class(r.Class), r.Tenant, b.interval())
+	return b.queue.Wait(table.Class(r.Class), r.Workspace, b.interval())
 }
 
 // hand gives the slot to the request.
--- a/pkg/placement/client.go
+++ b/pkg/placement/client.go
@@ -189,7 +189,7 @@
 		c.fallback(now, id, t)
 		return
 	}
-	m := &peerpb.Acquire{Id: id, Tenant: t.request.Tenant, Class: string(t.request.Class), Exclude: t.request.Exclude,
+	m := &peerpb.Acquire{Id: id, Workspace: t.request.Workspace, Class: string(t.request.Class), Exclude: t.request.Exclude,
 		Regions: t.request.HomeRegions, NoWait: t.request.NoWait, CanRelay: t.request.CanRelay && !t.settled, Settled: t.settled,
 		MaxWaitUs: uint64(t.request.MaxWait.Microseconds()), AgeUs: uint64(now.Sub(t.began).Microseconds())}
 	if !t.request.Deadline.IsZero() {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -24,15 +24,15 @@
 type Request struct {
 	// Pool names the pool that serves the request.
 	Pool string
-	// Tenant is the customer whose request it is; waiting requests are served fairly between tenants.
-	Tenant string
+	// Workspace is the customer whose request it is; waiting requests are served fairly between workspaces.
+	Workspace string
 	// Class is the priority group; empty means normal.
 	Class table.Class
 	// Deadline is the time at which an answer is useless; zero means none.
 	Deadline time.Time
 	// Age is the time since the request arrived at its first entry: it includes the
 	// way of a relayed request and the first attempt of a retry or hedge. Within a
-	// class and tenant, older requests are served first.
+	// class and workspace, older requests are served first.
 	Age time.Duration
 	// HomeRegions are the only regions whose upstreams may be chosen; empty means all.
 	HomeRegions []string
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -1,5 +1,5 @@
 // Package queue holds requests that wait for a slot. The queue is short, knows
-// deadlines, serves tenants of a class in turn and higher classes first, and
+// deadlines, serves workspaces of a class in turn and higher classes first, and
 // refuses a request at once when it would wait too long: an early refusal lets
 // the caller go elsewhere, a late one has used up its time.
 //
@@ -51,22 +51,22 @@
 
 // Item is a waiting request. The fields are set before Push and not changed afterwards.
 type Item[T any] struct {
-	Tenant   string
-	Class    table.Class // empty means normal
-	Deadline time.Time   // zero means none
-	Began    time.Time   // older requests of a tenant and class are served first; zero means Push
-	Value    T
+	Workspace string
+	Class     table.Class // empty means normal
+	Deadline  time.Time   // zero means none
+	Began     time.Time   // older requests of a workspace and class are served first; zero means Push
+	Value     T
 
 	since   time.Time
 	element *list.Element // in flow.items; nil when not waiting
 	flow    *flow[T]
 }
 
-// flow holds the waiting requests of one tenant in one class.
+// flow holds the waiting requests of one workspace in one class.
 type flow[T any] struct {
-	tenant string
-	items  list.List // of *Item[T], oldest first
-	turn   *list.Element
+	workspace string
+	items     list.List // of *Item[T], oldest first
+	turn      *list.Element
 }
 
 // level holds the flows of one class.
@@ -95,18 +95,18 @@
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return q.size }
 
-// Wait estimates how long a request of the class and tenant would wait if one
+// Wait estimates how long a request of the class and workspace would wait if one
 // waiting request were served in each interval.
-func (q *Queue[T]) Wait(class table.Class, tenant string, interval time.Duration) time.Duration {
+func (q *Queue[T]) Wait(class table.Class, workspace string, interval time.Duration) time.Duration {
 	c, ahead := rank(class), 0
 	for i := range c {
 		ahead += q.levels[i].size
 	}
 	own := 0
-	if f := q.levels[c].flows[tenant]; f != nil {
+	if f := q.levels[c].flows[workspace]; f != nil {
 		own = f.items.Len()
 	}
-	// Tenants are served in turn, so each other tenant takes at most as many turns as this one.
+	// Workspaces are served in turn, so each other workspace takes at most as many turns as this one.
 	for _, f := range q.levels[c].flows {
 		ahead += min(f.items.Len(), own+1)
 	}
@@ -117,7 +117,7 @@
 // request of the lowest class below the item's own makes room and is returned as evicted.
 // A refusal comes with the estimated time until the request could be served.
 func (q *Queue[T]) Push(now time.Time, it *Item[T], interval time.Duration) (admitted bool, evicted *Item[T], retryAfter time.Duration) {
-	wait := q.Wait(it.Class, it.Tenant, interval)
+	wait := q.Wait(it.Class, it.Workspace, interval)
 	if !it.Deadline.IsZero() && now.Add(wait).After(it.Deadline) {
 		return false, nil, wait
 	}
@@ -135,11 +135,11 @@
 
 func (q *Queue[T]) insert(now time.Time, it *Item[T]) {
 	l := &q.levels[rank(it.Class)]
-	f := l.flows[it.Tenant]
+	f := l.flows[it.Workspace]
 	if f == nil {
-		f = &flow[T]{tenant: it.Tenant}
+		f = &flow[T]{workspace: it.Workspace}
 		f.turn = l.turns.PushBack(f)
-		l.flows[it.Tenant] = f
+		l.flows[it.Workspace] = f
 	}
 	if it.Began.IsZero() {
 		it.Began = now
@@ -160,7 +160,7 @@
 	return f.items.PushFront(it)
 }
 
-// evict removes the newest request of the tenant with the most waiting requests
+// evict removes the newest request of the workspace with the most waiting requests
 // in the lowest class below rank c.
 func (q *Queue[T]) evict(c int) *Item[T] {
 	for i := len(q.levels) - 1; i > c; i-- {
@@ -189,7 +189,7 @@
 	it.flow.items.Remove(it.element)
 	if it.flow.items.Len() == 0 {
 		l.turns.Remove(it.flow.turn)
-		delete(l.flows, it.Tenant)
+		delete(l.flows, it.Workspace)
 	}
 	it.element = nil
 	l.size--
@@ -197,7 +197,7 @@
 	return true
 }
 
-// Restore puts a request that Pop returned back to the head of its tenant's line.
+// Restore puts a request that Pop returned back to the head of its workspace's line.
 func (q *Queue[T]) Restore(it *Item[T]) {
 	since := it.since
 	q.insert(since, it)
@@ -205,7 +205,7 @@
 }
 
 // Head calls visit for the first n requests in about the order in which Pop
-// returns them; the first requests of all tenants of a class come before the second ones.
+// returns them; the first requests of all workspaces of a class come before the second ones.
 func (q *Queue[T]) Head(n int, visit func(*Item[T])) {
 	for i := range q.levels {
 		left := min(n, q.levels[i].size)
@@ -216,7 +216,7 @@
 	}
 }
 
-// row visits the request at the given depth of each tenant, at most left of them.
+// row visits the request at the given depth of each workspace, at most left of them.
 func (l *level[T]) row(depth, left int, visit func(*Item[T])) int {
 	for e := l.turns.Front(); e != nil && left > 0; e = e.Next() {
 		x := e.Value.(*flow[T]).items.Front()
@@ -234,7 +234,7 @@
 }
 
 // Last returns the newest request of the lowest class that satisfies ok, without
-// removing it. It looks at the newest request of each tenant only.
+// removing it. It looks at the newest request of each workspace only.
 func (q *Queue[T]) Last(ok func(T) bool) *Item[T] {
 	for i := len(q.levels) - 1; i >= 0; i-- {
 		for e := q.levels[i].turns.Back(); e != nil; e = e.Prev() {
@@ -247,7 +247,7 @@
 }
 
 // Pop returns the next request to serve: of the highest class that waits, of the
-// tenant whose turn it is, the oldest. Requests that are past their deadline
+// workspace whose turn it is, the oldest. Requests that are past their deadline
 // are returned as expired.
 func (q *Queue[T]) Pop(now time.Time) (next *Item[T], expired []*Item[T]) {
 	for i := range q.levels {
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -37,7 +37,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
 				next++
-				it := &Item[int]{Value: next, Tenant: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "tenant"),
+				it := &Item[int]{Value: next, Workspace: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "workspace"),
 					Class: rapid.SampledFrom(classes[:]).Draw(t, "class")}
 				if d := rapid.IntRange(0, 20).Draw(t, "deadline"); d > 0 {
 					it.Deadline = now.Add(time.Duration(d) * time.Millisecond)
@@ -86,14 +86,14 @@
 	})
 }
 
-// Guards against a tenant that starves another one of the same class by sending more.
-func TestTenantsTakeTurns(t *testing.T) {
+// Guards against a workspace that starves another one of the same class by sending more.
+func TestWorkspacesTakeTurns(t *testing.T) {
 	is := is.New(t)
 	q := New[string](Settings{Capacity: 100})
 	for range 20 {
-		q.Push(epoch, &Item[string]{Tenant: "loud", Value: "loud"}, 0)
+		q.Push(epoch, &Item[string]{Workspace: "loud", Value: "loud"}, 0)
 	}
-	q.Push(epoch, &Item[string]{Tenant: "quiet", Value: "quiet"}, 0)
+	q.Push(epoch, &Item[string]{Workspace: "quiet", Value: "quiet"}, 0)
 	is.Equal(q.Wait(table.ClassNormal, "quiet", time.Millisecond), 4*time.Millisecond)
 	q.Pop(epoch)
 	it, _ := q.Pop(epoch)
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -77,10 +77,10 @@
 	Pool string `json:"pool,omitempty"`
 	// Split distributes the requests over several pools by weight, in place of pool.
 	Split []Share `json:"split,omitempty"`
-	// Tenant labels the requests in metrics and queues.
-	Tenant string `json:"tenant,omitempty"`
-	// TenantHeader names a request header whose value overrides Tenant.
-	TenantHeader string `json:"tenant_header,omitempty"`
+	// Workspace labels the requests in metrics and queues.
+	Workspace string `json:"tenant,omitempty"`
+	// WorkspaceHeader names a request header whose value overrides Workspace.
+	WorkspaceHeader string `json:"tenant_header,omitempty"`
 	// Class is the priority group. Default normal.
 	Class Class `json:"class,omitempty"`
 	// Idempotency tells whether requests may run more than once. Default by-method.
