--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -96,6 +96,7 @@
 type report struct {
 	status   int
 	refusal  string
+	cause    string // of the refusal
 	outcome  string
 	upstream string
 	attempts int
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -32,6 +32,9 @@
 func (x *exchange) refuse(f *Refusal) {
 	f.Outcome = x.outcome()
 	x.report.refusal, x.report.outcome, x.report.status = f.Kind, string(f.Outcome), f.Status
+	if f.Cause != nil {
+		x.report.cause = f.Cause.Error()
+	}
 	if x.callerGone() {
 		x.report.abort = true // nobody is left to read it
 		return
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -30,6 +30,8 @@
 	RetryAfter time.Duration `json:"-"`
 	// Close ends the caller's connection after the answer.
 	Close bool `json:"-"`
+	// Cause is logged; it may name upstreams, which callers are not told.
+	Cause error `json:"-"`
 }
 
 // write sends the refusal to the caller.
@@ -118,6 +120,7 @@
 // refusePlacement explains why no permit was given.
 func refusePlacement(late bool, err error) *Refusal {
 	f := placementRefusal(late, err)
+	f.Cause = err
 	var hint interface{ RetryAfter() time.Duration }
 	if !late && errors.As(err, &hint) {
 		f.RetryAfter = hint.RetryAfter()
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -171,6 +171,6 @@
 		log = log.V(x.e.routine)
 	}
 	log.Info("request", "request", x.id, "tenant", x.workspace, "route", x.route.Name, "upstream", x.report.upstream,
-		"status", x.report.status, "outcome", x.report.outcome, "refusal", x.report.refusal, "aborted", x.report.abort,
+		"status", x.report.status, "outcome", x.report.outcome, "refusal", x.report.refusal, "cause", x.report.cause, "aborted", x.report.abort,
 		"attempts", attempts, "duration", took.String(), "bytes_up", x.report.up, "bytes_down", x.report.down)
 }
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -1,12 +1,16 @@
 package sampled
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +49,10 @@
 	noise    float64 // share of the time in which work takes four times as long
 	until    time.Time
 	grey     bool
-	dark     bool // answers nothing
+	dark     bool    // answers nothing
+	gone     bool    // refuses connections
+	hidden   float64 // times as long as the readings say, if above 1
+	promised int     // requests of a policy with exact knowledge
 	coldTill time.Time
 }
 
@@ -68,7 +75,7 @@
 		}
 		s.until = now.Add(time.Duration(float64(mean) * s.rng.ExpFloat64()))
 	}
-	speed := 1 / s.slowdown()
+	speed := 1 / (s.slowdown() * max(1, s.hidden))
 	if float64(len(s.running)) > 0.8*simSlots {
 		speed /= 1.7
 	}
@@ -95,8 +102,10 @@
 	j := &job{left: work, done: make(chan bool, 1)}
 	s.mu.Lock()
 	s.arrivals = append(s.arrivals, now)
-	grey := s.grey && s.rng.Float64() < 0.45
+	grey := s.gone || s.grey && s.rng.Float64() < 0.45
 	switch {
+	case s.dark:
+		j.done = make(chan bool) // nothing comes
 	case grey:
 	case len(s.running) < simSlots:
 		s.running = append(s.running, j)
@@ -121,7 +130,8 @@
 type simWorld struct {
 	pool    table.Pool
 	route   table.Route
-	size    int64 // of each answer
+	size    int64                      // of each answer
+	edited  atomic.Pointer[table.Pool] // replaces pool
 	servers map[string]*simServer
 }
 
@@ -142,10 +152,16 @@
 // Ask implements Asker: the reading is as old as half a round trip.
 func (w *simWorld) Ask(ctx context.Context, _ *table.Pool, u table.Upstream) (Reading, error) {
 	s := w.servers[u.ID]
-	if s.dark {
+	s.mu.Lock()
+	dark, gone := s.dark, s.gone
+	s.mu.Unlock()
+	if dark {
 		<-ctx.Done()
 		return Reading{}, ctx.Err()
 	}
+	if gone {
+		return Reading{}, syscall.ECONNREFUSED
+	}
 	time.Sleep(time.Millisecond)
 	if ctx.Err() != nil {
 		return Reading{}, errors.New("too late")
@@ -182,21 +198,7 @@
 		policies = append(policies, New(place, w, logr.Discard()))
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
-	stop := make(chan struct{})
-	var ticking sync.WaitGroup
-	ticking.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			default:
-				time.Sleep(simTick)
-				for _, s := range w.servers {
-					s.tick(time.Now())
-				}
-			}
-		}
-	})
+	stop := w.start(nil)
 	var mu sync.Mutex
 	var res result
 	var running sync.WaitGroup
@@ -213,11 +215,36 @@
 		})
 	}
 	running.Wait()
-	close(stop)
-	ticking.Wait()
+	stop()
 	return res
 }
 
+// start runs the upstreams and applies the steps at their times until stop is called.
+func (w *simWorld) start(steps []step) (stop func()) {
+	end := make(chan struct{})
+	var ticking sync.WaitGroup
+	steps = slices.Clone(steps)
+	slices.SortStableFunc(steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	ticking.Go(func() {
+		for begin := time.Now(); ; {
+			select {
+			case <-end:
+				return
+			default:
+			}
+			time.Sleep(simTick)
+			for len(steps) > 0 && time.Since(begin) >= steps[0].at {
+				steps[0].do(w)
+				steps = steps[1:]
+			}
+			for _, s := range w.servers {
+				s.tick(time.Now())
+			}
+		}
+	})
+	return func() { close(end); ticking.Wait() }
+}
+
 // request plays one request and returns the counter of its outcome.
 func (w *simWorld) request(p *Policy, work time.Duration) func(*result) *int {
 	start := time.Now()
--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -31,7 +31,8 @@
 	must(t, `{"name":"roster","match":{"path_prefix":"/"},"pool":"roster","retry":{"max_attempts":1}}`, "route", "put", "-", "--store", storeURL)
 	var entries []*entry
 	for i := range 3 {
-		entries = append(entries, startEntry(t, fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("n%d", i+1), storeURL))
+		entries = append(entries, startEntryWith(t, fmt.Sprintf("entry-%d", i+1), fmt.Sprintf("n%d", i+1), storeURL,
+			map[string]any{"log": map[string]any{"requests": true}})) // shows why a request was refused
 	}
 	untilInForce(t, storeURL, entries...)
 
