Do not ask full upstreams of other regions for each refused request

While all regions are full, each request that finds no room asked every upstream of every region again.

While the pool is crowded, an upstream of another region that had no room is not asked for 400 ms.

Ruled out: to leave them out whatever the pressure is.

--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -65,6 +65,7 @@
 	log      logr.Logger
 	suspects *suspicions
 	sizes    *answerSizes
+	full     *fullUpstreams
 	meter    meter
 
 	mu      sync.Mutex
@@ -75,7 +76,7 @@
 
 // New returns a policy.
 func New(place Place, asker Asker, log logr.Logger) *Policy {
-	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), sizes: newAnswerSizes(), pending: map[string]int{}, crowds: map[string]*pressure{}, coldAt: map[string]time.Time{}}
+	return &Policy{place: place, asker: asker, log: log, suspects: newSuspicions(), sizes: newAnswerSizes(), full: newFullUpstreams(), pending: map[string]int{}, crowds: map[string]*pressure{}, coldAt: map[string]time.Time{}}
 }
 
 // Choice is an upstream that was chosen. Done is called exactly once.
@@ -97,7 +98,7 @@
 	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, patience: crowd.patience(r.Route.Target.Std()), crowded: crowd.crowded()}
 	rounds := 0
 	for first := true; ; first = false {
-		list := p.candidates(r)
+		list := p.candidates(r, ch.crowded)
 		if len(list) == 0 {
 			return nil, &Refused{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.comeBack(time.Now(), rand.Float64())}
 		}
@@ -207,6 +208,9 @@
 	}
 	c.reading = r
 	c.cost = estimate(r, c.distance, c.suspicion, ch.target)
+	if c.remote() {
+		p.full.note(c.upstream.ID, !hasRoom(r), time.Now())
+	}
 	if r.Cold > 0 {
 		p.mu.Lock()
 		c.barred = r.Running+r.Waiting > 0 || time.Since(p.coldAt[c.upstream.ID]) < coldGap
@@ -214,8 +218,9 @@
 	}
 }
 
-// candidates returns the upstreams that may be asked for a request.
-func (p *Policy) candidates(r Request) []*candidate {
+// candidates returns the upstreams that may be asked for a request. While the pool
+// is crowded, upstreams of other regions that were full just now are left out.
+func (p *Policy) candidates(r Request, crowded bool) []*candidate {
 	var near, far selection
 	for i := range r.Pool.Upstreams {
 		u := &r.Pool.Upstreams[i]
@@ -241,7 +246,11 @@
 	if near.seen > 0 {
 		far.others = nil
 	}
-	far.each(add)
+	far.each(func(index int, usual bool) {
+		if near.seen == 0 || !crowded || !p.full.has(r.Pool.Upstreams[index].ID, now) {
+			add(index, usual)
+		}
+	})
 	return list
 }
 
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -131,6 +131,7 @@
 	pool    table.Pool
 	route   table.Route
 	size    int64                      // of each answer
+	asks    sync.Map                   // region to the number of questions, as *atomic.Int64
 	edited  atomic.Pointer[table.Pool] // replaces pool
 	servers map[string]*simServer
 }
@@ -152,6 +153,7 @@
 // Ask implements Asker: the reading is as old as half a round trip.
 func (w *simWorld) Ask(ctx context.Context, _ *table.Pool, u table.Upstream) (Reading, error) {
 	s := w.servers[u.ID]
+	w.asked(u.Region).Add(1)
 	s.mu.Lock()
 	dark, gone := s.dark, s.gone
 	s.mu.Unlock()
@@ -173,6 +175,12 @@
 	return r, nil
 }
 
+// asked counts the questions to the upstreams of a region.
+func (w *simWorld) asked(region string) *atomic.Int64 {
+	n, _ := w.asks.LoadOrStore(region, new(atomic.Int64))
+	return n.(*atomic.Int64)
+}
+
 // result is what callers got.
 type result struct {
 	asked, inTarget, late, failed, refused int
@@ -364,6 +372,33 @@
 	}
 }
 
+// Guards against questions to every upstream of other regions, which operators pay
+// by volume, for each request that finds no room while all regions are full; and
+// against other regions that are left out when they have room again.
+func TestFullRegionsAreNotAskedEachTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newSimWorld(12, 0)
+		stuck := &job{left: time.Hour, done: make(chan bool, 1)}
+		for i := range w.pool.Upstreams {
+			if u := &w.pool.Upstreams[i]; i >= 4 {
+				u.Region, u.FailureDomain = "south", "south-1"
+				w.servers[u.ID].running = []*job{stuck, stuck, stuck, stuck}
+			}
+		}
+		load := 2 * w.capacity() / 3 // twice what the four upstreams of the region bear
+		res := w.play(4, load, 10*time.Second, 19)
+		t.Logf("%+v, %d questions to the other region", res, w.asked("south").Load())
+		is.True(int(w.asked("south").Load()) <= 3*res.asked) // eight for each refused request without memory
+		for _, s := range w.servers {
+			s.running = nil
+		}
+		res = w.play(4, load, 10*time.Second, 19)
+		t.Logf("%+v", res)
+		is.True(res.share() >= 0.95)
+	})
+}
+
 // Guards against the crash of a cold upstream: in no second may it get more than
 // 1.5 times the 7 requests that it bears and 5 more, over all instances, also
 // while most upstreams of the pool are cold.
@@ -407,7 +442,7 @@
 	all := map[string]int{}
 	for n := range 300 {
 		p := New(Place{Instance: fmt.Sprintf("e%d", n), Region: "north", FailureDomain: "north-0"}, w, logr.Discard())
-		list := p.candidates(Request{Pool: &w.pool, Route: &w.route})
+		list := p.candidates(Request{Pool: &w.pool, Route: &w.route}, false)
 		is.True(len(list) <= 2*subsetSize)
 		for _, c := range list {
 			if c.usual {
