--- a/pkg/placement/sampled/scenario_test.go
+++ b/pkg/placement/sampled/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -14,6 +15,11 @@
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	_ "gonum.org/v1/plot/vg/vgsvg" // the SVG back end
 
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
@@ -330,3 +336,60 @@
 	}
 	return share
 }
+
+var goodputPlot = flag.String("goodput-plot", "", "file for the plot of TestGoodputAgainstLoad, .svg")
+
+// Guards against a collapse at any load up to four times the capacity: the answers
+// within the target never fall by more than 5% below those at the capacity. The
+// baselines are played beside the policy; -goodput-plot draws all of them.
+func TestGoodputAgainstLoad(t *testing.T) {
+	is := is.New(t)
+	loads := []float64{0.5, 0.75, 1, 1.5, 2, 3, 4}
+	policies := []struct {
+		name   string
+		choose func(*simWorld, int) chooseFunc
+	}{{"exact knowledge", exact}, {"sampled", ours}, {"least in flight", leastInFlight}, {"random", random}}
+	curves := make([]plotter.XYs, len(policies))
+	for i, p := range policies {
+		for _, load := range loads {
+			synctest.Test(t, func(t *testing.T) {
+				res := scenario{load: steady(load)}.run(p.choose, 23)
+				good := float64(res.inTarget) / scenarioLength.Seconds()
+				t.Logf("%-16s load %.2f: %6.1f answers a second within the target, %+v", p.name, load, good, res)
+				curves[i] = append(curves[i], plotter.XY{X: load, Y: good})
+			})
+		}
+	}
+	for i, load := range loads {
+		if load > 1 {
+			is.True(curves[1][i].Y >= 0.95*curves[1][slices.Index(loads, 1)].Y)
+		}
+	}
+	if *goodputPlot == "" {
+		return
+	}
+	p := plot.New()
+	p.Title.Text = "Answers within the target, eight upstreams, 12 instances"
+	p.X.Label.Text, p.Y.Label.Text = "offered load / capacity", "answers a second within the target"
+	p.Legend.Left, p.Legend.Top = true, true
+	p.Y.Min = 0
+	var lines []any
+	for i := range policies {
+		lines = append(lines, policies[i].name, curves[i])
+	}
+	is.NoErr(plotutil.AddLinePoints(p, lines...))
+	p.Y.Max *= 1.4 // room for the legend
+	is.NoErr(p.Save(16*vg.Centimeter, 10*vg.Centimeter, *goodputPlot))
+}
+
+// random knows nothing.
+func random(*simWorld, int) chooseFunc {
+	return func(_ context.Context, r Request) (string, func(Ending), error) {
+		for _, i := range rand.Perm(len(r.Pool.Upstreams)) {
+			if u := r.Pool.Upstreams[i]; r.Pool.InService(u) && !slices.Contains(r.Tried, u.ID) {
+				return u.ID, func(Ending) {}, nil
+			}
+		}
+		return "", nil, errNoUpstream
+	}
+}
