Leave the last room of a crowded upstream to others at times

Cause: at three and four times the capacity the policy gave 92 answers a second within the target, at twice 100, exact knowledge 114. Several instances see the same slot come free and send at once; the upstream is then filled beyond the load at which all its work slows down 1.7 times (232 late answers, 154 with exact knowledge).

While a pool is crowded a request leaves the last room of an upstream alone with 0.8 of the pressure as probability.

--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -145,6 +145,7 @@
 	start    time.Time
 	patience time.Duration // the longest wait for an upstream with room
 	crowded  bool          // many requests find no room
+	pressure float64       // share of recent requests that found no room
 }
 
 // best returns the candidate with the least cost, or nil.
@@ -189,6 +190,19 @@
 	return refuse
 }
 
+// yieldShare is the part of the pressure with which a request leaves the last room of
+// an upstream alone. In the experiment with 3x and 4x load 0.6 and 0.9 gain the same.
+const yieldShare = 0.8
+
+// yields reports whether the request leaves the last room of an upstream to others.
+// It answers overload: several instances see the same slot come free, and those
+// that send at once fill the upstream beyond the load at which all its work slows
+// down. The next request finds a slot that nobody took a few milliseconds later.
+func (ch *chooser) yields(r Reading) bool {
+	lastRoom := r.Loaded && hasRoom(r) && !hasRoom(r.plus(1))
+	return ch.crowded && lastRoom && rand.Float64() < yieldShare*ch.pressure
+}
+
 // pressure is the share of recent requests that found no upstream with room when
 // they came. It answers overload: requests that wait for room take it from those
 // that come later and could still meet their target, so the higher the pressure,
@@ -212,6 +226,13 @@
 // give way to others.
 const crowdedShare = 0.3
 
+// level is the share of recent requests that found no room.
+func (p *pressure) level() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.share
+}
+
 // crowded reports whether many requests find no room.
 func (p *pressure) crowded() bool {
 	p.mu.Lock()
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -95,7 +95,7 @@
 		deadline = r.Start.Add(r.Route.Deadline.Std())
 	}
 	crowd := p.crowd(r.Pool.Name)
-	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, patience: crowd.patience(r.Route.Target.Std()), crowded: crowd.crowded()}
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, patience: crowd.patience(r.Route.Target.Std()), crowded: crowd.crowded(), pressure: crowd.level()}
 	rounds := 0
 	for first := true; ; first = false {
 		list := p.candidates(r, ch.crowded)
@@ -208,6 +208,7 @@
 	}
 	c.reading = r
 	c.cost = estimate(r, c.distance, c.suspicion, ch.target)
+	c.barred = ch.yields(r)
 	if c.remote() {
 		p.full.note(c.upstream.ID, !hasRoom(r), time.Now())
 	}
--- a/pkg/placement/sampled/scenario_test.go
+++ b/pkg/placement/sampled/scenario_test.go
@@ -340,7 +340,7 @@
 var goodputPlot = flag.String("goodput-plot", "", "file for the plot of TestGoodputAgainstLoad, .svg")
 
 // Guards against a collapse at any load up to four times the capacity: the answers
-// within the target never fall by more than 5% below those at the capacity. The
+// within the target never fall by more than 5% below those at any lower load. The
 // baselines are played beside the policy; -goodput-plot draws all of them.
 func TestGoodputAgainstLoad(t *testing.T) {
 	is := is.New(t)
@@ -360,10 +360,10 @@
 			})
 		}
 	}
-	for i, load := range loads {
-		if load > 1 {
-			is.True(curves[1][i].Y >= 0.95*curves[1][slices.Index(loads, 1)].Y)
-		}
+	highest := 0.0
+	for _, point := range curves[1] {
+		is.True(point.Y >= 0.95*highest)
+		highest = max(highest, point.Y)
 	}
 	if *goodputPlot == "" {
 		return
