--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -28,6 +28,9 @@
 	return r.IsIdempotent(method)
 }
 
+// callerLeft is logged for attempts and requests that ended because their caller went away.
+const callerLeft = "the caller left"
+
 // refuse answers the caller in place of an upstream.
 func (x *exchange) refuse(f *Refusal) {
 	f.Outcome = x.outcome()
@@ -36,7 +39,7 @@
 		x.report.cause = f.Cause.Error()
 	}
 	if x.callerGone() {
-		x.report.abort = true // nobody is left to read it
+		x.report.abort, x.report.cause = true, callerLeft // nobody is left to read it
 		return
 	}
 	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.r.ContentLength != 0 && !x.bodyDone())
--- a/internal/entry/relay_test.go
+++ b/internal/entry/relay_test.go
@@ -6,9 +6,12 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
@@ -141,6 +144,39 @@
 	is.True(!strings.Contains(lines.String(), "secret"))
 }
 
+// Guards against a request whose caller left that is logged as a failure of its upstream.
+func TestCallerLeftIsLogged(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	var lines strings.Builder
+	up := standin.NewUpstream(standin.UpstreamConfig{ID: "a", Slots: 4, Service: time.Hour})
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, up)}, withSettings(func(s *settings.Settings) { s.Log.Requests = true }))
+	h.entry.log = funcr.NewJSON(func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Fprintln(&lines, line)
+	}, funcr.Options{})
+	ctx, leave := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, h.url+"/", nil)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	for up.Counts().Requests == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	<-ended
+	_ = h.entry.Shutdown(t.Context()) // the lines are written after the end
+	mu.Lock()
+	defer mu.Unlock()
+	is.True(strings.Contains(lines.String(), `"error":"the caller left"`))
+	is.True(strings.Contains(lines.String(), `"cause":"the caller left"`))
+}
+
 // Guards against unbounded series from a header that callers choose.
 func TestWorkspaceSeriesAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -151,7 +153,10 @@
 	if a.resp != nil {
 		status = a.resp.StatusCode
 	}
-	if a.err != nil {
+	switch {
+	case errors.Is(a.err, context.Canceled) && x.callerGone():
+		reason = callerLeft
+	case a.err != nil:
 		reason = a.err.Error()
 	}
 	log := x.e.log
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -334,8 +334,8 @@
 		m.returned(now)
 	}
 	if b.listed {
-		for _, err := range m.reset(b.entries, now) {
-			f.log.Info("entry ignored", "error", err.Error())
+		for _, x := range m.reset(b.entries, now) {
+			f.log.Info("entry ignored", "key", x.entry.Key, "revision", x.entry.Revision, "error", x.err.Error())
 		}
 		f.log.Info("listed", "entries", len(b.entries))
 		return
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -63,13 +63,13 @@
 func (m *mirror) returned(now time.Time) { m.believeAt = now.Add(lapseGrace) }
 
 // reset replaces everything. Entries that cannot be decoded are reported.
-func (m *mirror) reset(entries []store.Entry, now time.Time) []error {
-	var errs []error
+func (m *mirror) reset(entries []store.Entry, now time.Time) []ignored {
+	var all []ignored
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
 		if err := m.put(e); err != nil {
-			errs = append(errs, err)
+			all = append(all, ignored{e, err})
 		}
 	}
 	for key := range m.records {
@@ -77,7 +77,13 @@
 			m.remove(key, now)
 		}
 	}
-	return errs
+	return all
+}
+
+// ignored is an entry whose value has a form that is not known.
+type ignored struct {
+	entry store.Entry
+	err   error
 }
 
 // apply takes over one change.
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -128,7 +128,7 @@
 			}
 		case v == refuse || r.Urgent:
 			p.meter.refused(r)
-			p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "waited", time.Since(r.Start).String())
+			p.logRefused(r, list, b, rounds)
 			return nil, &Refused{fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay"), ch.comeBack(time.Now(), rand.Float64())}
 		}
 		if !pause.For(ctx, pauseTime) {
@@ -137,6 +137,24 @@
 	}
 }
 
+// logRefused writes what decided against a request: how many candidates answered and
+// the reading of the best of them.
+func (p *Policy) logRefused(r Request, list []*candidate, b *candidate, rounds int) {
+	answered := 0
+	for _, c := range list {
+		if c.reading.Upstream != "" {
+			answered++
+		}
+	}
+	var reading Reading
+	if b != nil {
+		reading = b.reading
+	}
+	p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "answered", answered,
+		"waited", time.Since(r.Start).String(), "best", reading.Upstream, "running", reading.Running, "waiting", reading.Waiting,
+		"slots", reading.Slots, "slowdown", reading.Slowdown)
+}
+
 // pass asks the candidates in groups until one fits.
 func (p *Policy) pass(ctx context.Context, ch *chooser, r Request, list []*candidate, rounds *int) (verdict, *candidate) {
 	for from := 0; ; {
