--- a/test/e2e/cold_test.go
+++ b/test/e2e/cold_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/turmericsail/turmericsail/internal/fake"
+
 	"github.com/turmericsail/turmericsail/internal/load"
 )
 
@@ -17,7 +19,7 @@
 // its next life: the process that they were sent to has ended.
 func TestColdAllowance(t *testing.T) {
 	is := is.New(t)
-	store := freeAddress(t)
+	store := fake.FreeAddress(t)
 	storeURL := "http://" + store
 	startStore(t, store)
 	var upstreams []*upstream
--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/turmericsail/turmericsail/internal/fake"
+
 	"github.com/turmericsail/turmericsail/internal/load"
 )
 
@@ -22,12 +24,12 @@
 
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{store: freeAddress(t)}
+	d := &deployment{store: fake.FreeAddress(t)}
 	d.storeURL = "http://" + d.store
 	d.storeProcess = startStore(t, d.store, "--data", t.TempDir()+"/store.json")
 	var upstreams []string
 	for i, domain := range []string{"n1", "n2"} {
-		address, id := freeAddress(t), fmt.Sprintf("u%d", i+1)
+		address, id := fake.FreeAddress(t), fmt.Sprintf("u%d", i+1)
 		u := start(t, "standin", "upstream", "--listen", address, "--id", id, "--slots", "8", "--service", "1ms")
 		u.until(t, "upstream answers", func() bool { code, _ := get("http://" + address); return code == 200 })
 		upstreams = append(upstreams, fmt.Sprintf(`{"id":%q,"address":%q,"region":"north","failure_domain":%q}`, id, address, domain))
@@ -76,7 +78,7 @@
 // Guards against a lost edit: of two edits of the same revision only one may win.
 func TestRacingEditsShowBothVersions(t *testing.T) {
 	is := is.New(t)
-	store := freeAddress(t)
+	store := fake.FreeAddress(t)
 	startStore(t, store)
 	url := "http://" + store
 	row := `{"name":"roster","match":{"path_prefix":"/roster"},"pool":"roster"}`
--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/turmericsail/turmericsail/internal/fake"
+
 	"github.com/turmericsail/turmericsail/internal/admin"
 	"github.com/turmericsail/turmericsail/internal/standin"
 )
@@ -25,12 +27,12 @@
 // returns when the entries grant claims.
 func deployOnce(t *testing.T) (d *deployment, upstreams []string) {
 	t.Helper()
-	d = &deployment{store: freeAddress(t)}
+	d = &deployment{store: fake.FreeAddress(t)}
 	d.storeURL = "http://" + d.store
 	d.storeProcess = startStore(t, d.store, "--data", t.TempDir()+"/store.json")
 	var rows []string
 	for i, domain := range []string{"n1", "n2"} {
-		address, id := freeAddress(t), fmt.Sprintf("u%d", i+1)
+		address, id := fake.FreeAddress(t), fmt.Sprintf("u%d", i+1)
 		u := start(t, "standin", "upstream", "--listen", address, "--id", id, "--slots", "32", "--service", "2ms")
 		u.until(t, "upstream answers", func() bool { code, _ := get("http://" + address); return code == 200 })
 		upstreams = append(upstreams, "http://"+address)
--- a/test/e2e/process_test.go
+++ b/test/e2e/process_test.go
@@ -11,8 +11,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -22,6 +20,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/turmericsail/turmericsail/internal/fake"
 )
 
 // limit bounds every wait.
@@ -44,21 +44,6 @@
 	os.Exit(code)
 }
 
-// freeAddress returns an address below the range that the system gives to
-// outgoing connections, so that none of them takes it meanwhile.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", 12_000+rand.IntN(20_000))
-		if l, err := net.Listen("tcp", address); err == nil {
-			_ = l.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // until waits for a condition.
 func until(t *testing.T, what string, ok func() bool) {
 	t.Helper()
@@ -210,11 +195,11 @@
 // startEntryWith starts an entry with the given settings in place of the usual ones.
 func startEntryWith(t *testing.T, name, domain, storeURL string, settings map[string]any) *entry {
 	t.Helper()
-	e := &entry{callers: freeAddress(t), admin: freeAddress(t)}
+	e := &entry{callers: fake.FreeAddress(t), admin: fake.FreeAddress(t)}
 	cfg := map[string]any{
 		"instance": name, "region": "north", "regions": []string{"north"}, "failure_domain": domain,
 		"callers":  map[string]any{"listen": e.callers, "plaintext": true},
-		"peers":    map[string]any{"listen": freeAddress(t), "plaintext": true},
+		"peers":    map[string]any{"listen": fake.FreeAddress(t), "plaintext": true},
 		"admin":    map[string]any{"listen": e.admin},
 		"store":    map[string]any{"address": storeURL},
 		"shutdown": map[string]any{"notice": "100ms"},
--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/turmericsail/turmericsail/internal/fake"
+
 	"github.com/turmericsail/turmericsail/internal/standin"
 )
 
@@ -17,7 +19,7 @@
 // caller that repeats it at one entry after another, takes down the whole pool.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	is := is.New(t)
-	store := freeAddress(t)
+	store := fake.FreeAddress(t)
 	storeURL := "http://" + store
 	startStore(t, store)
 	var upstreams []*upstream
--- a/test/e2e/regions_test.go
+++ b/test/e2e/regions_test.go
@@ -6,13 +6,15 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/fake"
 )
 
 // Guards against data of a route with home regions that leaves them: to an
 // upstream outside, or into the log or the metrics of an entry outside.
 func TestHomeRegions(t *testing.T) {
 	is := is.New(t)
-	store := freeAddress(t)
+	store := fake.FreeAddress(t)
 	storeURL := "http://" + store
 	startStore(t, store)
 	home := startUpstream(t, "u-home", "north", "n1", "--slots", "8", "--service", "1ms")
--- a/test/e2e/shutdown_test.go
+++ b/test/e2e/shutdown_test.go
@@ -12,6 +12,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/fake"
 )
 
 func writeFile(path, text string) error { return os.WriteFile(path, []byte(text), 0o600) }
@@ -38,7 +40,7 @@
 		}
 	}))
 	t.Cleanup(upstream.Close)
-	store := freeAddress(t)
+	store := fake.FreeAddress(t)
 	startStore(t, store)
 	address := strings.TrimPrefix(upstream.URL, "http://")
 	pool := fmt.Sprintf(`{"name":"slow","slots":1,"connections":10,"upstreams":[{"id":"u","address":%q,"region":"north","failure_domain":"n1"}]}`, address)
--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/turmericsail/turmericsail/internal/standin"
+
+	"github.com/turmericsail/turmericsail/internal/fake"
 )
 
 // upstream is a stand-in upstream.
@@ -20,7 +22,7 @@
 
 func startUpstream(t *testing.T, id, region, domain string, args ...string) *upstream {
 	t.Helper()
-	u := &upstream{id: id, address: freeAddress(t), region: region, domain: domain, args: args}
+	u := &upstream{id: id, address: fake.FreeAddress(t), region: region, domain: domain, args: args}
 	u.start(t)
 	return u
 }
