--- a/pkg/placement/sampled/full.go
+++ b/pkg/placement/sampled/full.go
@@ -1,6 +1,7 @@
 package sampled
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -10,6 +11,10 @@
 // region, which are nearer, have long filled a slot that came free.
 const farFullTime = 400 * time.Millisecond
 
+// maxFull bounds the upstreams that are remembered: those that leave a pool are not
+// asked again, so nothing else removes them.
+const maxFull = 4096
+
 // fullUpstreams remembers upstreams of other regions that had no room. It answers
 // overload of the whole fleet: without it each request that finds no room at home
 // asks all upstreams of all regions, traffic that operators pay for by volume, only
@@ -26,10 +31,15 @@
 func (f *fullUpstreams) note(id string, full bool, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if full {
-		f.until[id] = now.Add(farFullTime)
-	} else {
+	if !full {
 		delete(f.until, id)
+		return
+	}
+	if len(f.until) >= maxFull {
+		maps.DeleteFunc(f.until, func(_ string, until time.Time) bool { return !now.Before(until) })
+	}
+	if len(f.until) < maxFull {
+		f.until[id] = now.Add(farFullTime)
 	}
 }
 
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -399,6 +399,20 @@
 	})
 }
 
+// Guards against memory that grows with every upstream that was ever full.
+func TestFullUpstreamsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f, now := newFullUpstreams(), time.Unix(1000, 0)
+	for i := range 3 * maxFull {
+		now = now.Add(time.Millisecond)
+		f.note(fmt.Sprint(i), true, now)
+		is.True(len(f.until) <= maxFull)
+		is.True(f.has(fmt.Sprint(i), now))
+	}
+	f.note("0", false, now)
+	is.True(!f.has("0", now))
+}
+
 // Guards against the crash of a cold upstream: in no second may it get more than
 // 1.5 times the 7 requests that it bears and 5 more, over all instances, also
 // while most upstreams of the pool are cold.
