Share the checks, settings and loops that were written twice

No change of behaviour:

- Which upstreams may get a request (in service, in a permitted region, not excluded) stood in four places; it is Pool.Eligible and AnyEligible of pkg/table, with the test of the daemon's copy.
- Budget.Take and TakeSpare had one loop each.
- A chooser kept what follows from the pressure (crowded, patience) beside it, read under three locks for each request; it keeps the pressure.
- LostWith hashed the request once for each upstream of the pool.
- The upstream stand-in and the store stand-in end their servers in one function, and the stand-in's wait for its restart is pause.For.
- The tests draw the work of a request in one function, and the stand-in's test takes its address from fake.FreeAddress.

--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -110,9 +110,5 @@
 	if err != nil {
 		return err
 	}
-	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	return standin.Serve(ctx, l, server)
 }
--- a/internal/daemon/attempts.go
+++ b/internal/daemon/attempts.go
@@ -144,10 +144,12 @@
 // lostWith lists the upstreams of the route's pool that were lost while they ran the request.
 func (s *suspects) lostWith(route *table.Route, f entry.Fingerprint) (ids []string) {
 	pool, _ := s.limits.pool(route.Pool) // a pool that is gone has no upstreams to avoid
-	for _, u := range pool.Upstreams {
-		if s.LostWith(s.request(route, f), quarantine.Upstream{Pool: route.Pool, ID: u.ID}) {
-			ids = append(ids, u.ID)
-		}
+	among := make([]quarantine.Upstream, len(pool.Upstreams))
+	for i, u := range pool.Upstreams {
+		among[i] = quarantine.Upstream{Pool: route.Pool, ID: u.ID}
+	}
+	for _, u := range s.LostWith(s.request(route, f), among) {
+		ids = append(ids, u.ID)
 	}
 	return ids
 }
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -10,34 +10,8 @@
 
 	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/internal/settings"
-	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
-// Guards against requests that brokers pass back and forth because every
-// upstream is excluded; in one run this took 145 KB of messages for six requests.
-func TestAnyLeft(t *testing.T) {
-	pool := table.Pool{Name: "p", UpstreamsOut: []string{"c"}, Upstreams: []table.Upstream{
-		{ID: "a", Region: "north"}, {ID: "b", Region: "south"}, {ID: "c", Region: "north"},
-	}}
-	for _, c := range []struct {
-		name    string
-		home    []string
-		exclude []string
-		want    bool
-	}{
-		{"none excluded", nil, nil, true},
-		{"one left", nil, []string{"a"}, true},
-		{"only one that is out is left", nil, []string{"a", "b"}, false},
-		{"only one outside the home regions is left", []string{"north"}, []string{"a"}, false},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			r := entry.AcquireRequest{Pool: &pool, Route: &table.Route{HomeRegions: c.home}}
-			is.Equal(anyLeft(r, c.exclude), c.want)
-		})
-	}
-}
-
 // Guards against a stored answer that a repeat gets changed, and against a dropped
 // one that a repeat takes for an empty answer.
 func TestStoredAnswerRoundTrip(t *testing.T) {
--- a/internal/daemon/losscheck_test.go
+++ b/internal/daemon/losscheck_test.go
@@ -36,9 +36,9 @@
 	now, lost := time.Now(), quarantine.Upstream{Pool: "p", ID: "u", FailureDomain: "n1"}
 	s.Service.Ended(now, lost, s.request(route, print), quarantine.Cut, nil)
 	s.Unreachable(now, lost)
-	is.True(s.LostWith(s.request(route, print), quarantine.Upstream{Pool: "p", ID: "u"}))
-	is.True(!s.LostWith(s.request(route, print), quarantine.Upstream{Pool: "p", ID: "other"}))
-	is.True(!s.LostWith(s.request(route, entry.Fingerprint{2}), lost))
+	same, other := quarantine.Upstream{Pool: "p", ID: "u"}, quarantine.Upstream{Pool: "p", ID: "other"}
+	is.Equal(s.LostWith(s.request(route, print), []quarantine.Upstream{other, same}), []quarantine.Upstream{same})
+	is.Equal(len(s.LostWith(s.request(route, entry.Fingerprint{2}), []quarantine.Upstream{lost})), 0)
 }
 
 // Guards against the loss of an upstream that a single cut request shows too late:
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -106,7 +106,8 @@
 func (p policy) acquireOnce(ctx context.Context, request placement.Request, r entry.AcquireRequest) (entry.Permit, bool, error) {
 	request.Exclude = slices.Clone(r.Exclude)
 	passed := false
-	if len(r.Exclude) > 0 && !anyLeft(r, r.Exclude) {
+	// Without an upstream that is left, brokers would pass the request back and forth.
+	if len(r.Exclude) > 0 && !r.Pool.AnyEligible(r.Route, r.Exclude) {
 		return nil, false, fault.New(fault.Unavailable, "every upstream in service was tried", "bring more upstreams into service")
 	}
 	for {
@@ -124,7 +125,7 @@
 		granted.Done(placement.Outcome{Result: placement.Canceled})
 		request.Exclude = append(request.Exclude, key.Upstream)
 		passed = true
-		if len(request.Exclude) >= maxPassed || !anyLeft(r, request.Exclude) {
+		if len(request.Exclude) >= maxPassed || !r.Pool.AnyEligible(r.Route, request.Exclude) {
 			return nil, passed, fault.New(fault.Exhausted, "every free upstream is in a cold start", "try again shortly")
 		}
 	}
@@ -148,14 +149,6 @@
 	return p.Service.Acquire(ctx, request)
 }
 
-// anyLeft reports whether an upstream in service is not excluded. Without one,
-// brokers would pass the request back and forth.
-func anyLeft(r entry.AcquireRequest, exclude []string) bool {
-	return slices.ContainsFunc(r.Pool.Upstreams, func(u table.Upstream) bool {
-		return r.Pool.InService(u) && r.Route.Permits(u.Region) && !slices.Contains(exclude, u.ID)
-	})
-}
-
 // maxPassed bounds the upstreams that one request passes over.
 const maxPassed = 64
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -121,10 +121,7 @@
 	if len(lost) == 0 {
 		return exclude
 	}
-	all := slices.Concat(exclude, lost)
-	if slices.ContainsFunc(pool.Upstreams, func(u table.Upstream) bool {
-		return pool.InService(u) && route.Permits(u.Region) && !slices.Contains(all, u.ID)
-	}) {
+	if all := slices.Concat(exclude, lost); pool.AnyEligible(route, all) {
 		return all
 	}
 	return exclude
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,7 +84,7 @@
 	}
 	for i := range ups {
 		u := &ups[(start+i)%len(ups)]
-		if !r.Pool.InService(*u) || !r.Route.Permits(u.Region) || slices.Contains(r.Exclude, u.ID) {
+		if !r.Pool.Eligible(*u, r.Route, r.Exclude) {
 			continue
 		}
 		if c := p.counter(r.Pool.Name, u.ID); best == nil || c.Load() < counter.Load() {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,6 +10,7 @@
 	"github.com/turmericsail/turmericsail/internal/daemon"
 	"github.com/turmericsail/turmericsail/internal/follow"
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/keepalive"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/table"
@@ -22,9 +23,6 @@
 	// peerRate is the traffic that an instance may send to others in a second. Only followed changes are
 	// sent, which the settling pause bounds already.
 	peerRate = 64 << 20
-	// Keep-alive probes find a connection that went silent within three seconds.
-	peerKeepAlive       = time.Second
-	peerKeepAliveProbes = 2
 )
 
 // peers is the transport to the other instances, or none without a listener in the settings.
@@ -48,7 +46,7 @@
 	if err != nil {
 		return err
 	}
-	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: peerKeepAlive, Interval: peerKeepAlive, Count: peerKeepAliveProbes}}
+	dialer := &net.Dialer{KeepAliveConfig: keepalive.Config()}
 	s.ControlRate, s.ConnectTimeout = peerRate, table.Duration(peerConnect)
 	s.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/turmericsail/turmericsail/pkg/pause"
 )
 
 // Serve runs the upstream on an address until ctx ends. A crash closes the listener
@@ -20,21 +22,22 @@
 		if err := u.serveLife(ctx, l); err != nil {
 			return err
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Until(u.restartAt())):
-		}
+		pause.For(ctx, time.Until(u.restartAt()))
 	}
 	return nil
 }
 
 // serveLife serves until ctx ends or the upstream crashes.
 func (u *Upstream) serveLife(ctx context.Context, l net.Listener) error {
-	life := u.current()
-	server := &http.Server{Handler: u, ConnState: u.ConnState, ConnContext: u.ConnContext}
-	closeServer := func() { _ = server.Close() }
-	defer context.AfterFunc(ctx, closeServer)()
-	defer context.AfterFunc(life, closeServer)()
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	defer context.AfterFunc(u.current(), end)()
+	return Serve(ctx, l, &http.Server{Handler: u, ConnState: u.ConnState, ConnContext: u.ConnContext})
+}
+
+// Serve runs a server until ctx ends.
+func Serve(ctx context.Context, l net.Listener, server *http.Server) error {
+	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/fake"
 )
 
 func startUpstream(t *testing.T, cfg UpstreamConfig) (*Upstream, string) {
@@ -75,10 +77,7 @@
 // end of a process is told by refused ones.
 func TestCrashRefusesConnectionsUntilTheRestart(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	address := l.Addr().String()
-	is.NoErr(l.Close())
+	address := fake.FreeAddress(t)
 	u := NewUpstream(UpstreamConfig{ID: "a", Slots: 4, Service: time.Millisecond, Restart: 300 * time.Millisecond})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error)
@@ -92,7 +91,7 @@
 		}
 	}
 	untilServed()
-	_, _, _, err = get(t, "http://"+address, CrashHeader, "1")
+	_, _, _, err := get(t, "http://"+address, CrashHeader, "1")
 	is.True(err != nil)
 	refused := false
 	for begin := time.Now(); !refused && time.Since(begin) < time.Second; {
--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -143,9 +143,7 @@
 	target   time.Duration // for the whole request
 	deadline time.Time
 	start    time.Time
-	patience time.Duration // the longest wait for an upstream with room
-	crowded  bool          // many requests find no room
-	pressure float64       // share of recent requests that found no room
+	pressure float64 // share of recent requests that found no room, at the start
 }
 
 // best returns the candidate with the least cost, or nil.
@@ -170,7 +168,7 @@
 	left := ch.deadline.Sub(now)
 	late := elapsed+time.Duration(workShare*float64(ch.target)) >= ch.target
 	roomy := b != nil && hasRoom(b.reading)
-	if roomy && late && ch.crowded && !hasRoom(b.reading.plus(1)) {
+	if roomy && late && ch.crowded() && !hasRoom(b.reading.plus(1)) {
 		roomy = false // leave the last room to a request that can still meet its target
 	}
 	if roomy && float64(elapsed+b.cost) <= fitShare*float64(ch.target) {
@@ -181,7 +179,7 @@
 	}
 	// Nothing fits now. An upstream may become free or fast while the target can still be met.
 	usual := time.Duration(workShare * float64(ch.target))
-	if elapsed < ch.patience && elapsed+usual < time.Duration(fitShare*float64(ch.target)) {
+	if elapsed < ch.patience() && elapsed+usual < time.Duration(fitShare*float64(ch.target)) {
 		return again
 	}
 	if roomy && b.cost < left {
@@ -200,7 +198,7 @@
 // down. The next request finds a slot that nobody took a few milliseconds later.
 func (ch *chooser) yields(r Reading) bool {
 	lastRoom := r.Loaded && hasRoom(r) && !hasRoom(r.plus(1))
-	return ch.crowded && lastRoom && rand.Float64() < yieldShare*ch.pressure
+	return ch.crowded() && lastRoom && rand.Float64() < yieldShare*ch.pressure
 }
 
 // pressure is the share of recent requests that found no upstream with room when
@@ -234,16 +232,10 @@
 }
 
 // crowded reports whether many requests find no room.
-func (p *pressure) crowded() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.share > crowdedShare
-}
+func (ch *chooser) crowded() bool { return ch.pressure > crowdedShare }
 
-// patience is how long a request may wait for room.
-func (p *pressure) patience(target time.Duration) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	calm := 1 - p.share
-	return time.Duration(maxPatience * calm * calm * float64(target))
+// patience is the longest wait for an upstream with room.
+func (ch *chooser) patience() time.Duration {
+	calm := 1 - ch.pressure
+	return time.Duration(maxPatience * calm * calm * float64(ch.target))
 }
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -95,10 +95,10 @@
 		deadline = r.Start.Add(r.Route.Deadline.Std())
 	}
 	crowd := p.crowd(r.Pool.Name)
-	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, patience: crowd.patience(r.Route.Target.Std()), crowded: crowd.crowded(), pressure: crowd.level()}
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: crowd.level()}
 	rounds := 0
 	for first := true; ; first = false {
-		list := p.candidates(r, ch.crowded)
+		list := p.candidates(r, ch.crowded())
 		if len(list) == 0 {
 			return nil, &Refused{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.comeBack(time.Now(), rand.Float64())}
 		}
@@ -243,7 +243,7 @@
 	var near, far selection
 	for i := range r.Pool.Upstreams {
 		u := &r.Pool.Upstreams[i]
-		if !r.Pool.InService(*u) || !r.Route.Permits(u.Region) || slices.Contains(r.Tried, u.ID) {
+		if !r.Pool.Eligible(*u, r.Route, r.Tried) {
 			continue
 		}
 		weight := subsetWeight(p.place.Instance, u.ID)
--- a/pkg/placement/sampled/scenario_test.go
+++ b/pkg/placement/sampled/scenario_test.go
@@ -160,7 +160,7 @@
 		defer mu.Unlock()
 		var open []string
 		for _, u := range r.Pool.Upstreams {
-			if r.Pool.InService(u) && !slices.Contains(r.Tried, u.ID) {
+			if r.Pool.Eligible(u, r.Route, r.Tried) {
 				open = append(open, u.ID)
 			}
 		}
@@ -204,7 +204,7 @@
 		s.mu.Lock()
 		running := max(len(s.running)+len(s.waiting), s.promised)
 		reading := Reading{Healthy: true, Loaded: true, Running: running, Slots: simSlots, Slowdown: s.slowdown() * max(1, s.hidden)}
-		usable := r.Pool.InService(u) && !slices.Contains(r.Tried, u.ID) && !s.grey && !s.dark && !s.gone && time.Now().After(s.coldTill)
+		usable := r.Pool.Eligible(u, r.Route, r.Tried) && !s.grey && !s.dark && !s.gone && time.Now().After(s.coldTill)
 		s.mu.Unlock()
 		if cost := estimate(reading, SameDomain, 0, simTarget); usable && hasRoom(reading) && cost < lowest {
 			best, lowest = u.ID, cost
@@ -237,7 +237,7 @@
 	begin := time.Now()
 	for at := time.Duration(0); at < scenarioLength; at = time.Since(begin) {
 		time.Sleep(time.Duration(rng.ExpFloat64() / (full * sc.load(at)) * float64(time.Second)))
-		work := time.Duration(float64(simWork) * math.Exp(0.3*rng.NormFloat64()-0.045))
+		work := drawWork(rng)
 		first, pauses := rng.IntN(scenarioInstances), 50+rng.IntN(100)
 		running.Go(func() {
 			var o func(*result) *int
@@ -386,7 +386,7 @@
 func random(*simWorld, int) chooseFunc {
 	return func(_ context.Context, r Request) (string, func(Ending), error) {
 		for _, i := range rand.Perm(len(r.Pool.Upstreams)) {
-			if u := r.Pool.Upstreams[i]; r.Pool.InService(u) && !slices.Contains(r.Tried, u.ID) {
+			if u := r.Pool.Upstreams[i]; r.Pool.Eligible(u, r.Route, r.Tried) {
 				return u.ID, func(Ending) {}, nil
 			}
 		}
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -213,7 +213,7 @@
 	for end := time.Now().Add(length); time.Now().Before(end); {
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
 		p := policies[rng.IntN(instances)]
-		work := time.Duration(float64(simWork) * math.Exp(0.3*rng.NormFloat64()-0.045))
+		work := drawWork(rng)
 		running.Go(func() {
 			o := w.request(p, work)
 			mu.Lock()
@@ -253,6 +253,11 @@
 	return func() { close(end); ticking.Wait() }
 }
 
+// drawWork returns the work of one request.
+func drawWork(rng *rand.Rand) time.Duration {
+	return time.Duration(float64(simWork) * math.Exp(0.3*rng.NormFloat64()-0.045))
+}
+
 // request plays one request and returns the counter of its outcome.
 func (w *simWorld) request(p *Policy, work time.Duration) func(*result) *int {
 	start := time.Now()
--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -100,12 +100,20 @@
 	return s.table.Admit(now, f)
 }
 
-// LostWith reports whether the upstream was lost while it ran the request.
-func (s *Service) LostWith(r Request, u Upstream) bool {
+// LostWith returns those of the upstreams that were lost while they ran the request.
+func (s *Service) LostWith(r Request, among []Upstream) (lost []Upstream) {
 	f := s.hasher.Fingerprint(r)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.table.lostWith(f, s.nameOf(u))
+	if !s.table.Known(f) {
+		return nil
+	}
+	for _, u := range among {
+		if s.table.lostWith(f, s.nameOf(u)) {
+			lost = append(lost, u)
+		}
+	}
+	return lost
 }
 
 // Refusal is the error for a request with the verdict Refuse.
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -31,24 +31,17 @@
 }
 
 // Take uses up one extra attempt, or reports that none is left.
-func (b *Budget) Take() bool {
-	for {
-		old := b.tokens.Load()
-		if old < unit {
-			return false
-		}
-		if b.tokens.CompareAndSwap(old, old-unit) {
-			return true
-		}
-	}
-}
+func (b *Budget) Take() bool { return b.take(1) }
 
 // TakeSpare uses up one extra attempt only if another one is left after it. It is
 // for attempts that make an answer faster, so that they leave one for a request that fails.
-func (b *Budget) TakeSpare() bool {
+func (b *Budget) TakeSpare() bool { return b.take(2) }
+
+// take uses up one extra attempt if at least some are left.
+func (b *Budget) take(least int64) bool {
 	for {
 		old := b.tokens.Load()
-		if old < 2*unit {
+		if old < least*unit {
 			return false
 		}
 		if b.tokens.CompareAndSwap(old, old-unit) {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -163,6 +163,17 @@
 	return !slices.Contains(p.FailureDomainsOut, u.FailureDomain) && !slices.Contains(p.UpstreamsOut, u.ID)
 }
 
+// Eligible reports whether the upstream may get a request of the route: it is in
+// service, the route permits its region, and it is not excluded.
+func (p *Pool) Eligible(u Upstream, r *Route, exclude []string) bool {
+	return p.InService(u) && r.Permits(u.Region) && !slices.Contains(exclude, u.ID)
+}
+
+// AnyEligible reports whether any upstream may get a request of the route.
+func (p *Pool) AnyEligible(r *Route, exclude []string) bool {
+	return slices.ContainsFunc(p.Upstreams, func(u Upstream) bool { return p.Eligible(u, r, exclude) })
+}
+
 // Tables is a consistent set of both tables. It is immutable once published.
 type Tables struct {
 	// Revision rises with every accepted edit.
--- a/pkg/table/table_test.go
+++ b/pkg/table/table_test.go
@@ -39,3 +39,27 @@
 	_, err = DecodeRoute([]byte(`{"name":"a","pool":"p","record_window":"24h"}`))
 	is.NoErr(err)
 }
+
+// Guards against requests that brokers pass back and forth because every
+// upstream is excluded; in one run this took 145 KB of messages for six requests.
+func TestAnyEligible(t *testing.T) {
+	pool := Pool{Name: "p", UpstreamsOut: []string{"c"}, Upstreams: []Upstream{
+		{ID: "a", Region: "north"}, {ID: "b", Region: "south"}, {ID: "c", Region: "north"},
+	}}
+	for _, c := range []struct {
+		name    string
+		home    []string
+		exclude []string
+		want    bool
+	}{
+		{"none excluded", nil, nil, true},
+		{"one left", nil, []string{"a"}, true},
+		{"only one that is out is left", nil, []string{"a", "b"}, false},
+		{"only one outside the home regions is left", []string{"north"}, []string{"a"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(pool.AnyEligible(&Route{HomeRegions: c.home}, c.exclude), c.want)
+		})
+	}
+}
