Log where an instance learns of changes when the place changes

The line "origin changed" names the old and the new origin, the age that it states, the revision and whether this instance holds a place itself; explain counts it among what an instance came to believe.

No logic is changed.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -27,7 +27,7 @@
 
 // beliefs are the lines that tell what an instance came to believe.
 var beliefs = []string{
-	"start", "stop", "leaving", "store lost", "store regained", "history lost", "changes missed", "reader lost",
+	"start", "stop", "leaving", "store lost", "store regained", "history lost", "changes missed", "reader lost", "origin changed",
 	"reader place taken", "reader place lost", "listed", "changed", "configuration in force", "settings reloaded", "log lines left out",
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -87,6 +87,7 @@
 	after   uint64
 	listed  bool
 	failing bool // the last call to the store failed
+	origin  string // where the latest fresh answer came from
 	avoid   map[peer.InstanceID]time.Time
 }
 
@@ -204,6 +205,9 @@
 		f.tail.apply(r.changes, r.revision, confirmed)
 	}
 	f.after = max(f.after, r.revision)
+	if r.age <= maxAge {
+		f.noteOrigin(string(reader.ID), r.age)
+	}
 	f.pass(ctx, batch{listed: full, returned: returned, entries: r.entries, changes: r.changes})
 	return r.age <= maxAge, false
 }
@@ -280,6 +284,7 @@
 		f.tail.apply(b.changes, max(next, f.after), confirmed)
 	}
 	f.after, f.listed = max(next, f.after), true
+	f.noteOrigin(storeOrigin, 0)
 	if len(b.changes) > 0 || b.listed || b.returned {
 		f.pass(ctx, b)
 		if first && !f.hasReaders() {
@@ -291,6 +296,17 @@
 	return true
 }
 
+// storeOrigin is the origin of what the store itself told.
+const storeOrigin = "store"
+
+// noteOrigin logs where this instance learns of changes when that is another place than before.
+func (f *Follower) noteOrigin(origin string, age time.Duration) {
+	if f.origin != origin {
+		f.log.Info("origin changed", "from", f.origin, "to", origin, "age", age.String(), "revision", f.after, "reading", f.reading.Load())
+		f.origin = origin
+	}
+}
+
 func (f *Follower) hasReaders() bool {
 	known := f.readers.Load()
 	return known != nil && len(*known) > 0
