--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -86,7 +86,7 @@
 	// Owned by follow.
 	after   uint64
 	listed  bool
-	failing bool // the last call to the store failed
+	failing bool   // the last call to the store failed
 	origin  string // where the latest fresh answer came from
 	avoid   map[peer.InstanceID]time.Time
 }
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -15,15 +15,17 @@
 	"github.com/matryer/is"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/peer/peertest"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
 
-// storePath is one instance's way to the store. It may be refused or silent.
+// storePath is one instance's way to the store. It may be refused or silent, its
+// watches may miss changes, and its leases may have ended.
 type storePath struct {
 	*fakeLog
-	refused, silent atomic.Bool
+	refused, silent, deaf, revoked atomic.Bool
 }
 
 func (p *storePath) blocked(ctx context.Context) error {
@@ -54,6 +56,10 @@
 	if err := p.blocked(ctx); err != nil {
 		return nil, 0, err
 	}
+	if p.deaf.Load() {
+		pause.For(ctx, wait)
+		return nil, after, ctx.Err()
+	}
 	changes, next, err := p.fakeLog.Changes(ctx, prefix, after, wait)
 	if blocked := p.blocked(ctx); blocked != nil {
 		return nil, 0, blocked
@@ -97,7 +103,7 @@
 	n, _ := strconv.Atoi(string(id))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.leases[n-1].timer.Stop() {
+	if !p.leases[n-1].timer.Stop() || p.revoked.Load() {
 		return fault.New(fault.NotFound, "lapsed", "take it again")
 	}
 	p.leases[n-1].timer.Reset(p.leases[n-1].ttl)
@@ -151,13 +157,21 @@
 
 // reader returns the number of an instance that reads the store for others.
 func (fl *fleet) reader(t *testing.T) int {
+	readers := fl.readers()
+	if len(readers) == 0 {
+		t.Fatal("no reader")
+	}
+	return readers[0]
+}
+
+// readers returns the numbers of all instances that read the store for others.
+func (fl *fleet) readers() (numbers []int) {
 	for i, f := range fl.followers {
 		if f.reading.Load() {
-			return i
+			numbers = append(numbers, i)
 		}
 	}
-	t.Fatal("no reader")
-	return 0
+	return numbers
 }
 
 func (fl *fleet) versions(except int) []uint64 {
@@ -283,3 +297,41 @@
 	_, _, _, gone = tl.wait(context.Background(), 4, time.Millisecond)
 	is.True(gone)
 }
+
+// Guards against instances that follow each other in a circle after their places ended, and call old knowledge fresh.
+func TestFormerReadersDoNotFollowEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleet(t, 12)
+		readers := fl.readers()
+		is.Equal(len(readers), 2)
+		// Both learn from their renewals that their places ended, before the store tells them of the removed keys.
+		for _, r := range readers {
+			fl.paths[r].revoked.Store(true)
+			fl.paths[r].deaf.Store(true)
+		}
+		time.Sleep(2 * placeRenew)
+		for _, r := range readers {
+			fl.paths[r].deaf.Store(false)
+			fl.log.remove(placeKey(fl.followers[r].self.Region, 0))
+		}
+		fl.log.put("config", "config xx")
+		time.Sleep(2 * time.Second)
+		is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+	})
+}
+
+// Guards against an age that leaves out the time for which the answer waited for a change.
+func TestAnswerStatesItsAgeWhenItIsGiven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tl := newTail()
+		tl.reset(nil, 5, time.Now())
+		_, _, age, _ := tl.wait(context.Background(), 5, relayWait)
+		is.Equal(age, relayWait)
+		ctx, cancel := context.WithTimeout(context.Background(), relayWait)
+		defer cancel()
+		_, _, age, _ = tl.wait(ctx, 5, time.Minute)
+		is.Equal(age, 2*relayWait)
+	})
+}
