State the age of a reader's answer when it is given

Callers saw 404 for routes that had been added and services of older versions, for up to 26 s. An answer that waited for a change stated the age from before the wait, so each pass from instance to instance made knowledge up to 0.5 s younger than it was. Two instances that followed each other gained as much as they lost, and never asked the store.

The age is now taken when the answer is given.

--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -303,6 +303,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fl := newFleet(t, 12)
+		fl.net.SetLatency(func(_, _ peer.InstanceID) time.Duration { return 12 * time.Millisecond })
 		readers := fl.readers()
 		is.Equal(len(readers), 2)
 		// Both learn from their renewals that their places ended, before the store tells them of the removed keys.
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -112,14 +112,15 @@
 func (t *tail) wait(ctx context.Context, after uint64, limit time.Duration) (changes []store.Change, revision uint64, age time.Duration, gone bool) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
-	for {
+	for over := false; ; {
 		t.mu.Lock()
 		gone = !t.known || after < t.from
 		first, _ := slices.BinarySearchFunc(t.changes, after+1, func(c store.Change, r uint64) int { return cmp.Compare(c.Revision, r) })
+		// The age is that of the moment at which the answer is given, not of the one at which the wait began.
 		changes, revision, age = t.changes[first:len(t.changes):len(t.changes)], t.revision, time.Since(t.confirmed)
 		woken := t.woken
 		t.mu.Unlock()
-		if gone || len(changes) > 0 || age > maxAge {
+		if over || gone || len(changes) > 0 || age > maxAge {
 			return changes, revision, age, gone
 		}
 		stale := time.NewTimer(maxAge - age + time.Millisecond)
@@ -127,11 +128,9 @@
 		case <-woken:
 		case <-stale.C:
 		case <-timer.C:
-			stale.Stop()
-			return nil, revision, age, false
+			over = true
 		case <-ctx.Done():
-			stale.Stop()
-			return nil, revision, age, false
+			over = true
 		}
 		stale.Stop()
 	}
