--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -115,12 +115,13 @@
 		f.log.Error(err, "the reader's key cannot be encoded")
 		return place{}
 	}
+	f.reading.Store(true) // others see the place before the answer is here
 	lease, err := f.holder.Hold(ctx, key, value, placeLife)
 	if err != nil {
+		f.reading.Store(false)
 		f.log.Info("reader place not taken", "key", key, "kind", string(fault.KindOf(err)))
 		return place{}
 	}
-	f.reading.Store(true)
 	f.log.Info("reader place taken", "key", key)
 	return place{key, lease}
 }
