Let instances that the store turns away learn from readers of other regions

Cause: a reader asked only the store, also while the store turned it away and readers of other regions had the change. Instances of its region that were turned away too stayed with that reader, since an old answer counted as an answer.

A reader that the store does not answer follows other readers like everyone else, and passes nothing on meanwhile; a renewal that succeeds brings it back to the store.

Evidence: TestRegionWithoutStoreLearnsFromOtherRegions failed in all five cases with a store that turns the region away, and passes.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -80,6 +80,7 @@
 	tail    *tail
 	readers atomic.Pointer[map[string]Reader]
 	reading atomic.Bool // this instance holds a place
+	shut    atomic.Bool // the store did not answer the last call, and no renewal of the place since
 	current atomic.Pointer[control.Snapshot]
 	batches chan batch
 
@@ -162,26 +163,35 @@
 	return ctx.Err()
 }
 
+// passesOn reports whether this instance reads the store for others: it holds a place
+// and the store answers it.
+func (f *Follower) passesOn() bool { return f.reading.Load() && !f.shut.Load() }
+
 // followReader asks a reader once, and another one when the first failed at once.
 // It reports false when the store must be asked instead.
 func (f *Follower) followReader(ctx context.Context) bool {
 	for start := time.Now(); ctx.Err() == nil && time.Since(start) < quickFailure; {
-		if f.reading.Load() || !f.listed {
+		if f.passesOn() || !f.listed {
 			return false
 		}
 		reader, ok := f.pickReader(time.Now())
 		if !ok {
 			return false
 		}
-		if fresh, failed := f.askReader(ctx, reader); !failed {
-			return fresh
+		err := f.askReader(ctx, reader)
+		if err == nil {
+			return true
+		}
+		if ctx.Err() == nil {
+			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
+			f.avoid[reader.ID] = time.Now().Add(avoidTime)
 		}
 	}
 	return false
 }
 
-// askReader asks one reader and reports whether its knowledge is fresh.
-func (f *Follower) askReader(ctx context.Context, reader Reader) (fresh, failed bool) {
+// askReader takes what one reader knows. It fails when the reader's knowledge is not fresh.
+func (f *Follower) askReader(ctx context.Context, reader Reader) error {
 	r, err := f.ask(ctx, reader.ID, f.after, false)
 	full := fault.Is(err, fault.NotFound)
 	if full {
@@ -191,11 +201,7 @@
 		err = fault.New(fault.Unavailable, "the reader is behind", "ask another one")
 	}
 	if err != nil {
-		if ctx.Err() == nil {
-			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
-			f.avoid[reader.ID] = time.Now().Add(avoidTime)
-		}
-		return false, true
+		return err
 	}
 	confirmed := time.Now().Add(-r.age)
 	returned := f.tail.gap(confirmed) > lapseGap
@@ -205,11 +211,12 @@
 		f.tail.apply(r.changes, r.revision, confirmed)
 	}
 	f.after = max(f.after, r.revision)
-	if r.age <= maxAge {
-		f.noteOrigin(string(reader.ID), r.age)
-	}
 	f.pass(ctx, batch{listed: full, returned: returned, entries: r.entries, changes: r.changes})
-	return r.age <= maxAge, false
+	if r.age > maxAge {
+		return fault.New(fault.Unavailable, "the reader has not heard from the store for "+r.age.String(), "ask another one, or the store")
+	}
+	f.noteOrigin(string(reader.ID), r.age)
+	return nil
 }
 
 // followSeeds takes the state of another instance when the store does not answer
@@ -259,17 +266,20 @@
 	case fault.Is(err, fault.NotFound):
 		f.log.Info("history lost", "after", f.after)
 		f.listed = false
+		f.shut.Store(false)
 		return true
 	case err != nil:
 		if !f.failing {
 			f.log.Info("store lost", "error", err.Error())
 		}
 		f.failing = true
+		f.shut.Store(true)
 		return false
 	case f.failing:
 		f.log.Info("store regained", "revision", next)
 		f.failing = false
 	}
+	f.shut.Store(false)
 	confirmed := time.Now()
 	if !b.listed && len(b.changes) == 0 && next > f.after {
 		// The store went on and told nothing: the watch missed changes while the history was dropped.
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -136,7 +136,9 @@
 	}
 	if err != nil {
 		f.log.V(1).Info("reader place not renewed", "key", p.key, "error", err.Error())
+		return true
 	}
+	f.shut.Store(false) // the store answers again; as the reader, this instance goes back to it
 	return true
 }
 
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -39,8 +39,8 @@
 	age      time.Duration
 }
 
-// serve answers another instance. Only a reader passes on changes: instances that
-// followed each other could form a circle, in which nobody asks the store.
+// serve answers another instance. Only a reader that the store answers passes on changes:
+// instances that followed each other could form a circle, in which nobody asks the store.
 func (f *Follower) serve(ctx context.Context, _ peer.InstanceID, request []byte) (proto.Message, error) {
 	var q peerpb.ChangesRequest
 	if err := proto.Unmarshal(request, &q); err != nil {
@@ -54,7 +54,7 @@
 			reply.Rows = append(reply.Rows, &peerpb.ConfigRow{Key: e.Key, Value: e.Value, Since: e.Revision})
 		}
 		reply.Revision, reply.Gone, age = revision, !known, since
-	} else if !f.reading.Load() {
+	} else if !f.passesOn() {
 		return nil, fault.New(fault.Unavailable, "this instance does not read the store for others", "ask a reader, or the store")
 	} else {
 		changes, revision, since, gone := f.tail.wait(ctx, q.After, min(time.Duration(q.WaitMs)*time.Millisecond, watchWait))
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -29,6 +29,8 @@
 }
 
 func (p *storePath) blocked(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callBound)
+	defer cancel()
 	if p.silent.Load() {
 		<-ctx.Done()
 	}
@@ -336,3 +338,30 @@
 		is.Equal(age, 2*relayWait)
 	})
 }
+
+// Guards against a reader that the store turns away and that asks nobody else, and against
+// instances of its region that are turned away too and stay with that reader.
+func TestRegionWithoutStoreLearnsFromOtherRegions(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, fail := range map[string]func(p *storePath){
+		"turned away": func(p *storePath) { p.refused.Store(true) },
+	} {
+		for _, wait := range []time.Duration{0, 450 * time.Millisecond, 900 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
+			t.Run(fmt.Sprintf("%s, %s before a change", name, wait), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					fl := newFleet(t, 12)
+					for i, path := range fl.paths {
+						if fl.followers[i].self.Region == "north" {
+							fail(path)
+						}
+					}
+					time.Sleep(wait)
+					fl.log.put("config", "config xx")
+					time.Sleep(bound)
+					is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+				})
+			})
+		}
+	}
+}
