Bound the calls that a silent store holds

Cause: a watch that was sent while the store was silent held its instance for 3 s, since the store never answers such a call, and a pause of up to 1.8 s followed. An instance may count as in touch 3 s after the store's return.

A watch is bounded by its wait and 0.8 s, and waits only when the store answered the call before; the pause counts from the start of the failed call. So an instance reads the store again 1.9 s after its return at the latest. A reader that fails late no longer leads to the store before other readers were asked, for 0.15 s at most, for what they know already.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -43,14 +43,22 @@
 	// startPause is the pause after the first list while no reader is known: all instances of a
 	// deployment may start at once, and the first readers are there within it.
 	startPause = 1200 * time.Millisecond
-	// quickFailure is the time within which a failed question leaves time for another reader.
-	quickFailure = 150 * time.Millisecond
+	// quickAnswer bounds the answer of a reader that is asked after another one failed: a round trip between
+	// regions takes 24 ms. maxAsked bounds the readers that are asked in a row before the store is.
+	quickAnswer = 150 * time.Millisecond
+	maxAsked    = 3
+	// seedLimit bounds the connection to a seed and its answer, which holds the whole state.
+	seedLimit = 1300 * time.Millisecond
 	// avoidTime is how long a reader that failed is not asked.
 	avoidTime = 3 * time.Second
-	// retryMin and retryMax bound the pause after a failed call. The maximum leaves time to learn of a
-	// change within 2 s once the store has been back for 3 s.
+	// retryMin and retryMax bound the mean time between the starts of two failed calls, which is spread by
+	// half of it.
 	retryMin = 300 * time.Millisecond
 	retryMax = 1200 * time.Millisecond
+	// callSlack bounds a watch beyond its wait: 200 times the 4 ms that the store takes in calm times. A
+	// store that was silent may hold a call for good, so call and pause together must leave time to learn
+	// of a change within 2 s once the store has been back for 3 s.
+	callSlack = 800 * time.Millisecond
 )
 
 // Parts are the parts that a follower uses.
@@ -150,6 +158,7 @@
 		if f.followReader(ctx) {
 			continue
 		}
+		asked := time.Now()
 		if f.followStore(ctx) {
 			backoff = retryMin
 			continue
@@ -157,7 +166,7 @@
 		if !f.listed && f.followSeeds(ctx) {
 			continue
 		}
-		pause.For(ctx, jitter(backoff))
+		pause.For(ctx, jitter(backoff)-time.Since(asked))
 		backoff = min(2*backoff, retryMax)
 	}
 	return ctx.Err()
@@ -167,21 +176,23 @@
 // and the store answers it.
 func (f *Follower) passesOn() bool { return f.reading.Load() && !f.shut.Load() }
 
-// followReader asks a reader once, and another one when the first failed at once.
-// It reports false when the store must be asked instead.
+// followReader asks a reader for changes, and when it fails others for what they know
+// already. It reports false when the store must be asked instead.
 func (f *Follower) followReader(ctx context.Context) bool {
-	for start := time.Now(); ctx.Err() == nil && time.Since(start) < quickFailure; {
-		if f.passesOn() || !f.listed {
+	wait, limit := relayWait, relayWait+relayMargin
+	for range maxAsked {
+		if f.passesOn() || !f.listed || ctx.Err() != nil {
 			return false
 		}
 		reader, ok := f.pickReader(time.Now())
 		if !ok {
 			return false
 		}
-		err := f.askReader(ctx, reader)
+		err := f.askReader(ctx, reader, wait, limit)
 		if err == nil {
 			return true
 		}
+		wait, limit = 0, quickAnswer
 		if ctx.Err() == nil {
 			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
 			f.avoid[reader.ID] = time.Now().Add(avoidTime)
@@ -191,11 +202,13 @@
 }
 
 // askReader takes what one reader knows. It fails when the reader's knowledge is not fresh.
-func (f *Follower) askReader(ctx context.Context, reader Reader) error {
-	r, err := f.ask(ctx, reader.ID, f.after, false)
+func (f *Follower) askReader(ctx context.Context, reader Reader, wait, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	r, err := f.ask(ctx, reader.ID, f.after, wait)
 	full := fault.Is(err, fault.NotFound)
 	if full {
-		r, err = f.ask(ctx, reader.ID, 0, true)
+		r, err = f.askAll(ctx, reader.ID)
 	}
 	if err == nil && r.revision < f.after && full {
 		err = fault.New(fault.Unavailable, "the reader is behind", "ask another one")
@@ -229,13 +242,13 @@
 		if address == f.self.Address {
 			continue
 		}
-		dialing, cancel := context.WithTimeout(ctx, relayWait)
-		id, err := f.dial(dialing, address)
-		cancel()
+		asking, cancel := context.WithTimeout(ctx, seedLimit)
+		id, err := f.dial(asking, address)
 		var r relayed
 		if err == nil {
-			r, err = f.ask(ctx, id, 0, true)
+			r, err = f.askAll(asking, id)
 		}
+		cancel()
 		if err != nil {
 			f.log.V(1).Info("seed not reached", "address", address, "error", err.Error())
 			continue
@@ -258,7 +271,7 @@
 	if b.listed {
 		b.entries, next, err = f.source.List(ctx, "")
 	} else {
-		b.changes, next, err = f.source.Changes(ctx, "", f.after, watchWait)
+		b.changes, next, err = f.watch(ctx)
 	}
 	switch {
 	case ctx.Err() != nil:
@@ -317,6 +330,18 @@
 	}
 }
 
+// watch asks the store for changes. It waits for one only when the store answered the call
+// before, so that a silent store holds the instance no longer than needed.
+func (f *Follower) watch(ctx context.Context) ([]store.Change, uint64, error) {
+	wait := watchWait
+	if f.failing || f.origin != storeOrigin {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	return f.source.Changes(ctx, "", f.after, wait)
+}
+
 func (f *Follower) hasReaders() bool {
 	known := f.readers.Load()
 	return known != nil && len(*known) > 0
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -67,13 +67,19 @@
 	return pack(reply)
 }
 
-// ask asks a reader for changes, or for all entries.
-func (f *Follower) ask(ctx context.Context, to peer.InstanceID, after uint64, full bool) (relayed, error) {
-	ctx, cancel := context.WithTimeout(peer.WithTraffic(ctx, peer.CallPath), relayWait+relayMargin)
-	defer cancel()
+// ask asks a reader for changes; it may wait for one.
+func (f *Follower) ask(ctx context.Context, to peer.InstanceID, after uint64, wait time.Duration) (relayed, error) {
+	return f.exchange(ctx, to, &peerpb.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+}
+
+// askAll asks an instance for all entries.
+func (f *Follower) askAll(ctx context.Context, to peer.InstanceID) (relayed, error) {
+	return f.exchange(ctx, to, &peerpb.ChangesRequest{Full: true})
+}
+
+func (f *Follower) exchange(ctx context.Context, to peer.InstanceID, request *peerpb.ChangesRequest) (relayed, error) {
 	var reply peerpb.ChangesReply
-	request := &peerpb.ChangesRequest{After: after, WaitMs: uint32(relayWait.Milliseconds()), Full: full}
-	if err := f.peers.Call(ctx, to, Service, request, &reply); err != nil {
+	if err := f.peers.Call(peer.WithTraffic(ctx, peer.CallPath), to, Service, request, &reply); err != nil {
 		return relayed{}, err
 	}
 	if err := unpack(&reply); err != nil {
@@ -81,14 +87,14 @@
 	}
 	r := relayed{revision: reply.Revision, age: time.Duration(reply.AgeMs) * time.Millisecond}
 	switch {
-	case reply.Gone && full:
+	case reply.Gone && request.Full:
 		return r, fault.New(fault.Unavailable, "the reader has nothing yet", "ask another one")
 	case reply.Gone:
 		return r, fault.New(fault.NotFound, "the reader no longer has the changes", "ask for all entries")
 	}
 	for _, row := range reply.Rows {
 		e := store.Entry{Key: row.Key, Value: row.Value, Revision: row.Since}
-		if full {
+		if request.Full {
 			r.entries = append(r.entries, e)
 		} else {
 			r.changes = append(r.changes, store.Change{Entry: e, Deleted: row.Deleted})
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -345,6 +345,7 @@
 	const bound = 2 * time.Second
 	for name, fail := range map[string]func(p *storePath){
 		"turned away": func(p *storePath) { p.refused.Store(true) },
+		"silent":      func(p *storePath) { p.silent.Store(true) },
 	} {
 		for _, wait := range []time.Duration{0, 450 * time.Millisecond, 900 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
 			t.Run(fmt.Sprintf("%s, %s before a change", name, wait), func(t *testing.T) {
@@ -365,3 +366,28 @@
 		}
 	}
 }
+
+// Guards against calls that a silent store holds long after its return: an instance that reaches
+// the store for 3 s must know what was acknowledged 2 s ago.
+func TestSilentStoreDelaysNobodyAfterItsReturn(t *testing.T) {
+	const touch, bound = 3 * time.Second, 2 * time.Second
+	for _, outage := range []time.Duration{300 * time.Millisecond, 1700 * time.Millisecond, 3700 * time.Millisecond, 4500 * time.Millisecond, 5300 * time.Millisecond, 9100 * time.Millisecond} {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fl := newFleet(t, 12)
+				for _, path := range fl.paths {
+					path.silent.Store(true)
+				}
+				time.Sleep(outage)
+				for _, path := range fl.paths {
+					path.silent.Store(false)
+				}
+				time.Sleep(touch - bound)
+				fl.log.put("config", "config xx")
+				time.Sleep(bound)
+				is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+			})
+		})
+	}
+}
