Forbid 1xx answers before a refusal writes its header

A data race that TestHeadWithoutEndIsCut found: an upstream that sends 1xx answers without end was still passing them on while the refusal of the request wrote its own header, so the caller could get mixed headers, and the process could end with a concurrent map write.

The exchange now closes the way for 1xx answers first. It also shows that a head without end is cut at the deadline, as before.

--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -236,3 +236,36 @@
 		is.True(<-failed != nil) // the upstream must not take the part for the whole
 	})
 }
+
+// Guards against a head without end, which must neither hold the caller beyond the deadline nor fill the memory.
+func TestHeadWithoutEndIsCut(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for name, pause := range map[string]time.Duration{"slow": time.Millisecond, "fast": 0} {
+		for _, line := range []string{"X-More: 1\r\n", "HTTP/1.1 102 Processing\r\n\r\n"} {
+			t.Run(name+" "+line[:6], func(t *testing.T) {
+				is := is.New(t)
+				closed := make(chan struct{})
+				up := newRawUpstream(t, func(_ int64, c net.Conn) {
+					defer close(closed)
+					_, _ = http.ReadRequest(bufio.NewReader(c))
+					_, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+					if !strings.HasPrefix(line, "HTTP") {
+						_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+					}
+					for ; err == nil; time.Sleep(pause) {
+						_, err = io.WriteString(c, line)
+					}
+				})
+				route := testRoute()
+				route.IdentityHeader, route.Deadline = "", table.Duration(limit)
+				h := newHarness(t, route, []string{up.addr})
+				start := time.Now()
+				r := h.do("POST", "/", nil)
+				is.NoErr(r.err)
+				is.True(r.status == 502 || r.status == 504)
+				is.True(time.Since(start) < 10*limit)
+				<-closed
+			})
+		}
+	}
+}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -43,8 +43,8 @@
 		return
 	}
 	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.r.ContentLength != 0 && !x.bodyDone())
+	x.forbid1xx() // before the header is touched, which a 1xx answer writes too
 	x.w.Header()[x.e.proto.RequestID] = []string{x.id}
-	x.forbid1xx()
 	f.write(x.w, &x.e.proto)
 }
 
