Bound the whole answer by the route's time limit

Callers of routes that may not be repeated were kept for up to 15 s after the route's time limit when the upstream stopped in the middle of a body, and as long as they liked to wait when a body never ended. The limit bounded only the start of an answer; afterwards only its progress was watched. Answers to idempotent requests were safe, since their first megabyte is read before the caller sees the start.

A route has a limit for its whole answer. An answer that is here already is passed on, however late, and nothing is fetched again after the limit.

Evidence: TestAnswerEndsWithinItsLimit failed before: two stalled answers took 15 s, the one without end did not end within the test's 40 s. It passes, 5 runs with the race detector.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -141,6 +141,9 @@
 		c.a.err = err
 		c.a.end(EndLost, false)
 	}
+	if c.x.overdue() {
+		return false
+	}
 	next := c.resume.next(c.a, c.written)
 	if next == nil {
 		return false
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -266,6 +266,9 @@
 		a.stop(failLost, err)
 		return
 	}
+	if err == io.EOF {
+		a.x.end = time.Time{} // the whole answer is here
+	}
 	body := a.resp.Body
 	a.resp.Body = struct {
 		io.Reader
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -43,7 +43,8 @@
 	workspace string
 	id        string
 	start     time.Time
-	deadline  time.Time
+	deadline  time.Time     // for the start of the answer
+	end       time.Time     // for the end of the answer; zero without a limit
 	age       time.Duration // how long the caller has been trying, as far as its deadline tells
 	depth     int
 	body      *requestBody
@@ -210,6 +211,9 @@
 		return refuseLate()
 	}
 	x.deadline = x.start.Add(limit)
+	if whole := x.route.AnswerLimit.Std(); whole > 0 {
+		x.end = x.start.Add(whole)
+	}
 	x.depth = retry.Depth(x.r.Header) - 1
 	if x.r.ContentLength > x.bodyLimit() {
 		return refuseBody(x.bodyLimit())
@@ -259,12 +263,20 @@
 	}
 }
 
-// watch starts the guard timer for the next step of the answer.
+// watch starts the guard timer for the next step of the answer. Bytes that are here already
+// are passed on, however late.
 func (x *exchange) watch(p phase) {
+	limit := x.e.timing.answerStall
+	if p == phaseReading && !x.end.IsZero() {
+		limit = min(limit, max(time.Until(x.end), 0))
+	}
 	x.phase.Store(int32(p))
-	x.guard.Reset(x.e.timing.answerStall)
+	x.guard.Reset(limit)
 }
 
+// overdue reports whether the time for the whole answer has passed.
+func (x *exchange) overdue() bool { return !x.end.IsZero() && !time.Now().Before(x.end) }
+
 // late reports whether the deadline for the start of the answer has passed.
 func (x *exchange) late() bool { return !time.Now().Before(x.deadline) }
 
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -237,6 +237,43 @@
 	})
 }
 
+// Guards against an answer that is longer on its way than its route allows: one that stalls after
+// its first bytes, and one that never ends.
+func TestAnswerEndsWithinItsLimit(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	for name, script := range map[string]string{
+		"stalled body":     "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nabc",
+		"stalled chunk":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"body without end": "HTTP/1.1 200 OK\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan struct{})
+			up := newRawUpstream(t, func(_ int64, c net.Conn) {
+				defer close(closed)
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, script)
+				for name == "body without end" {
+					if _, err := io.WriteString(c, "more"); err != nil {
+						return
+					}
+					time.Sleep(time.Millisecond)
+				}
+				_, _ = io.Copy(io.Discard, c)
+			})
+			route := testRoute()
+			route.IdentityHeader, route.Deadline, route.AnswerLimit = "", table.Duration(limit/2), table.Duration(limit)
+			h := newHarness(t, route, []string{up.addr})
+			start := time.Now()
+			r := h.do("POST", "/", nil)
+			is.Equal(r.status, 200)
+			is.True(r.err != nil) // the answer does not look whole
+			is.True(time.Since(start) < 10*limit)
+			<-closed
+		})
+	}
+}
+
 // Guards against a head without end, which must neither hold the caller beyond the deadline nor fill the memory.
 func TestHeadWithoutEndIsCut(t *testing.T) {
 	const limit = 300 * time.Millisecond
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -75,7 +75,7 @@
 	if failed.down > 0 {
 		r.fruitless = 0
 	}
-	for r.fruitless < maxFruitless && r.x.r.Context().Err() == nil {
+	for r.fruitless < maxFruitless && r.x.r.Context().Err() == nil && !r.x.overdue() {
 		r.fruitless++
 		a := r.attempt(failed, r.first+written)
 		if a.fail == failNone && r.continues(a, r.first+written) {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -89,6 +89,8 @@
 	IdentityHeader string `json:"identity_header,omitempty"`
 	// Deadline bounds the time to the start of the answer. Default 30s.
 	Deadline Duration `json:"deadline,omitempty"`
+	// AnswerLimit bounds the time to the end of the answer. Default: only its progress is bounded.
+	AnswerLimit Duration `json:"answer_limit,omitempty"`
 	// Target is the time within which an answer is fully useful to its caller. Placement waits for a
 	// better upstream only as long as the target allows. Default: the deadline.
 	Target Duration `json:"target,omitempty"`
--- a/pkg/table/validate.go
+++ b/pkg/table/validate.go
@@ -56,6 +56,7 @@
 		p.Add(path+".record_region", "is not one of the home regions", "name one of home_regions")
 	}
 	nonNegative(&p, path+".deadline", float64(r.Deadline))
+	nonNegative(&p, path+".answer_limit", float64(r.AnswerLimit))
 	if r.RecordWindow > MaxRecordWindow {
 		p.Add(path+".record_window", "is longer than 24h", "records are kept in memory; use at most 24h")
 	}
