Let a reader that lost the history learn from other readers

Callers of such an instance see the configuration of before for as long as the store turns it away.

Cause: an instance whose watch was answered with "history gone" asked only the store until it had a list, although other readers keep the changes after its revision.

Whoever knows a revision may follow readers, and no state is taken from an instance that is behind.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -181,7 +181,7 @@
 func (f *Follower) followReader(ctx context.Context) bool {
 	wait, limit := relayWait, relayWait+relayMargin
 	for range maxAsked {
-		if f.passesOn() || !f.listed || ctx.Err() != nil {
+		if f.passesOn() || f.after == 0 || ctx.Err() != nil {
 			return false
 		}
 		reader, ok := f.pickReader(time.Now())
@@ -210,9 +210,6 @@
 	if full {
 		r, err = f.askAll(ctx, reader.ID)
 	}
-	if err == nil && r.revision < f.after && full {
-		err = fault.New(fault.Unavailable, "the reader is behind", "ask another one")
-	}
 	if err != nil {
 		return err
 	}
@@ -223,7 +220,7 @@
 	} else {
 		f.tail.apply(r.changes, r.revision, confirmed)
 	}
-	f.after = max(f.after, r.revision)
+	f.after, f.listed = max(f.after, r.revision), true
 	f.pass(ctx, batch{listed: full, returned: returned, entries: r.entries, changes: r.changes})
 	if r.age > maxAge {
 		return fault.New(fault.Unavailable, "the reader has not heard from the store for "+r.age.String(), "ask another one, or the store")
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -72,9 +72,13 @@
 	return f.exchange(ctx, to, &peerpb.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
 }
 
-// askAll asks an instance for all entries.
+// askAll asks an instance for all entries. It fails when that instance is behind this one.
 func (f *Follower) askAll(ctx context.Context, to peer.InstanceID) (relayed, error) {
-	return f.exchange(ctx, to, &peerpb.ChangesRequest{Full: true})
+	r, err := f.exchange(ctx, to, &peerpb.ChangesRequest{Full: true})
+	if err == nil && r.revision < f.after {
+		err = fault.New(fault.Unavailable, "the instance is behind this one", "ask another one")
+	}
+	return r, err
 }
 
 func (f *Follower) exchange(ctx context.Context, to peer.InstanceID, request *peerpb.ChangesRequest) (relayed, error) {
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -22,10 +22,10 @@
 )
 
 // storePath is one instance's way to the store. It may be refused or silent, its
-// watches may miss changes, and its leases may have ended.
+// watches may miss changes, its leases may have ended, and its lists may be refused.
 type storePath struct {
 	*fakeLog
-	refused, silent, deaf, revoked atomic.Bool
+	refused, silent, deaf, revoked, unlisted atomic.Bool
 }
 
 func (p *storePath) blocked(ctx context.Context) error {
@@ -49,6 +49,9 @@
 	if err := p.blocked(ctx); err != nil {
 		return nil, 0, err
 	}
+	if p.unlisted.Load() {
+		return nil, 0, fault.New(fault.Unavailable, "busy", "wait")
+	}
 	return p.fakeLog.List(ctx, prefix)
 }
 
@@ -391,3 +394,32 @@
 		})
 	}
 }
+
+// Guards against a reader that lost the history and cannot read everything again, and that asks no other reader.
+func TestReaderWithoutHistoryLearnsFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleet(t, 12)
+		fl.paths[fl.reader(t)].unlisted.Store(true)
+		fl.log.set(func() { fl.log.oldest = fl.log.rev + 1 })
+		time.Sleep(time.Second)
+		fl.log.set(func() { fl.log.oldest = fl.log.rev })
+		fl.log.put("config", "config xx")
+		time.Sleep(2 * time.Second)
+		is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+	})
+}
+
+// Guards against the state of an instance that is behind, which would bring back upstreams that left.
+func TestOlderStateIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleet(t, 2)
+		f := New(Parts{Codec: plainCodec{}, Peers: fl.net.Join("late/a", "10.0.0.9:1")}, logr.Discard())
+		r, err := f.askAll(t.Context(), fl.ids[0])
+		is.NoErr(err)
+		f.after = r.revision + 1
+		_, err = f.askAll(t.Context(), fl.ids[0])
+		is.True(fault.Is(err, fault.Unavailable))
+	})
+}
