--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -17,7 +17,7 @@
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
-// plainCodec reads "config VERSION", "out DOMAIN" and "up SERVICE STATE".
+// plainCodec reads "config VERSION", "astray VERSION", which routes to a missing pool, "out DOMAIN" and "up SERVICE STATE".
 type plainCodec struct{}
 
 func (plainCodec) Decode(e store.Entry) (Fact, error) {
@@ -25,6 +25,8 @@
 	switch {
 	case len(words) == 2 && words[0] == "config":
 		return Fact{Config: &Config{Version: uint64(len(words[1])), Pools: []table.Pool{{Name: "p", Discover: "p"}}}}, nil
+	case len(words) == 2 && words[0] == "astray":
+		return Fact{Config: &Config{Version: uint64(len(words[1])), Routes: []table.Route{{Name: "r", Pool: "q"}}, Pools: []table.Pool{{Name: "p", Discover: "p"}}}}, nil
 	case len(words) == 2 && words[0] == "out":
 		return Fact{FailureDomainOut: words[1]}, nil
 	case len(words) == 3 && words[0] == "up":
@@ -243,6 +245,23 @@
 	})
 }
 
+// Guards against a configuration whose routes lead nowhere and that replaces one that works.
+func TestConfigWithMissingPoolIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newFakeLog()
+		f := start(t, l)
+		l.put("config", "config x")
+		time.Sleep(time.Second)
+		l.put("config", "astray xx")
+		time.Sleep(time.Second)
+		is.Equal(f.Snapshot().Tables.Revision, uint64(1))
+		l.put("config", "config xxx")
+		time.Sleep(time.Second)
+		is.Equal(f.Snapshot().Tables.Revision, uint64(3))
+	})
+}
+
 // Guards against a call for each change of a storm, and against calls without pause while the store is down.
 func TestCallsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/follow/mirror.go
+++ b/internal/follow/mirror.go
@@ -98,8 +98,8 @@
 	return m.put(c.Entry)
 }
 
-// put takes over an entry. One that cannot be decoded names no upstream; a
-// configuration that cannot be decoded leaves the last one in force.
+// put takes over an entry. One that cannot be decoded names no upstream; a configuration that
+// cannot be decoded, or whose routes name pools that it lacks, leaves the last one in force.
 func (m *mirror) put(e store.Entry) error {
 	var fact Fact
 	var err error
@@ -108,6 +108,9 @@
 	} else {
 		fact, err = m.codec.Decode(e)
 	}
+	if err == nil && fact.Config != nil {
+		err = table.NewTables(fact.Config.Version, fact.Config.Routes, fact.Config.Pools).CheckReferences().Err()
+	}
 	if err != nil {
 		fact = Fact{}
 	}
