Ask readers again at once when neither they nor the store answer

Instances that the store turned away could stay on an old configuration for 3 s and more after an outage of the whole store, although the store answered readers of other regions again.

Causes: readers that had failed were left alone for 3 s also when nobody else was there to ask; calls to a silent store took the time in which readers could have answered; and when the place of the last reader ended, nobody was known who could tell its successor.

An instance that neither a reader nor the store has answered asks the readers every 0.3 s for what they know already, the last one that answered among them; the store is called as often as before. What an instance knows from others is told, but never as fresh, so no circle can form. At most two readers are asked before the store, which leaves more of the 2 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -46,7 +46,7 @@
 	// quickAnswer bounds the answer of a reader that is asked after another one failed: a round trip between
 	// regions takes 24 ms. maxAsked bounds the readers that are asked in a row before the store is.
 	quickAnswer = 150 * time.Millisecond
-	maxAsked    = 3
+	maxAsked    = 2
 	// seedLimit bounds the connection to a seed and its answer, which holds the whole state.
 	seedLimit = 1300 * time.Millisecond
 	// avoidTime is how long a reader that failed is not asked.
@@ -55,6 +55,9 @@
 	// half of it.
 	retryMin = 300 * time.Millisecond
 	retryMax = 1200 * time.Millisecond
+	// readerRetry is the pause before readers are asked again while neither they nor the store answer. They
+	// are asked more often than the store, whose calls have a price.
+	readerRetry = 300 * time.Millisecond
 	// callSlack bounds a watch beyond its wait: 200 times the 4 ms that the store takes in calm times. A
 	// store that was silent may hold a call for good, so call and pause together must leave time to learn
 	// of a change within 2 s once the store has been back for 3 s.
@@ -87,8 +90,10 @@
 	dial    func(ctx context.Context, address string) (peer.InstanceID, error)
 	tail    *tail
 	readers atomic.Pointer[map[string]Reader]
-	reading atomic.Bool // this instance holds a place
-	shut    atomic.Bool // the store did not answer the last call, and no renewal of the place since
+	last    atomic.Pointer[Reader] // the reader that answered last
+	reading atomic.Bool            // this instance holds a place
+	shut    atomic.Bool            // the store did not answer the last call, and no renewal of the place since
+	direct  atomic.Bool            // the latest knowledge came from the store itself
 	current atomic.Pointer[control.Snapshot]
 	batches chan batch
 
@@ -96,6 +101,7 @@
 	after   uint64
 	listed  bool
 	failing bool   // the last call to the store failed
+	alone   bool   // it did, and no reader has answered since
 	origin  string // where the latest fresh answer came from
 	avoid   map[peer.InstanceID]time.Time
 }
@@ -137,6 +143,9 @@
 			}
 		}
 	}
+	if last := f.last.Load(); last != nil && last.ID == id {
+		return last.Address, true
+	}
 	return "", false
 }
 
@@ -154,34 +163,46 @@
 // follow asks for changes until ctx ends.
 func (f *Follower) follow(ctx context.Context) error {
 	backoff := retryMin
+	var nextCall time.Time
 	for ctx.Err() == nil {
 		if f.followReader(ctx) {
 			continue
 		}
-		asked := time.Now()
-		if f.followStore(ctx) {
-			backoff = retryMin
+		if left := time.Until(nextCall); left > 0 {
+			pause.For(ctx, min(left, readerRetry))
 			continue
 		}
-		if !f.listed && f.followSeeds(ctx) {
+		nextCall = time.Now().Add(jitter(backoff))
+		if f.followStore(ctx) {
+			backoff, nextCall = retryMin, time.Time{}
 			continue
 		}
-		pause.For(ctx, jitter(backoff)-time.Since(asked))
 		backoff = min(2*backoff, retryMax)
+		if !f.listed {
+			f.followSeeds(ctx)
+		}
 	}
 	return ctx.Err()
 }
 
-// passesOn reports whether this instance reads the store for others: it holds a place
-// and the store answers it.
-func (f *Follower) passesOn() bool { return f.reading.Load() && !f.shut.Load() }
+// leads reports whether this instance reads the store although it knows readers: it holds a
+// place and the store answers it.
+func (f *Follower) leads() bool { return f.reading.Load() && !f.shut.Load() }
+
+// passesOn reports whether what this instance knows may count as fresh for others: it leads, or
+// has just heard from the store, as a reader that lost its place has.
+func (f *Follower) passesOn() bool { return f.leads() || f.direct.Load() && !f.shut.Load() }
 
 // followReader asks a reader for changes, and when it fails others for what they know
 // already. It reports false when the store must be asked instead.
 func (f *Follower) followReader(ctx context.Context) bool {
 	wait, limit := relayWait, relayWait+relayMargin
+	if f.alone {
+		wait, limit = 0, quickAnswer
+		clear(f.avoid)
+	}
 	for range maxAsked {
-		if f.passesOn() || f.after == 0 || ctx.Err() != nil {
+		if f.leads() || f.after == 0 || ctx.Err() != nil {
 			return false
 		}
 		reader, ok := f.pickReader(time.Now())
@@ -190,12 +211,13 @@
 		}
 		err := f.askReader(ctx, reader, wait, limit)
 		if err == nil {
+			f.alone = false
 			return true
 		}
 		wait, limit = 0, quickAnswer
-		if ctx.Err() == nil {
+		f.avoid[reader.ID] = time.Now().Add(avoidTime)
+		if ctx.Err() == nil && !f.alone {
 			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
-			f.avoid[reader.ID] = time.Now().Add(avoidTime)
 		}
 	}
 	return false
@@ -223,17 +245,19 @@
 	f.after, f.listed = max(f.after, r.revision), true
 	f.pass(ctx, batch{listed: full, returned: returned, entries: r.entries, changes: r.changes})
 	if r.age > maxAge {
-		return fault.New(fault.Unavailable, "the reader has not heard from the store for "+r.age.String(), "ask another one, or the store")
+		return fault.New(fault.Unavailable, "the reader has not heard from the store itself for "+r.age.String(), "ask another one, or the store")
 	}
+	f.direct.Store(false)
+	f.last.Store(&reader)
 	f.noteOrigin(string(reader.ID), r.age)
 	return nil
 }
 
 // followSeeds takes the state of another instance when the store does not answer
 // at the start, so that an instance that is restarted during an outage can serve.
-func (f *Follower) followSeeds(ctx context.Context) bool {
+func (f *Follower) followSeeds(ctx context.Context) {
 	if f.peers == nil || f.dial == nil {
-		return false
+		return
 	}
 	for _, address := range f.seeds {
 		if address == f.self.Address {
@@ -254,9 +278,8 @@
 		f.tail.reset(r.entries, r.revision, time.Now().Add(-r.age))
 		f.after, f.listed = max(f.after, r.revision), true
 		f.pass(ctx, batch{listed: true, returned: true, entries: r.entries})
-		return true
+		return
 	}
-	return false
 }
 
 // followStore asks the store once and reports whether it answered.
@@ -284,12 +307,15 @@
 		}
 		f.failing = true
 		f.shut.Store(true)
+		f.alone = true
 		return false
 	case f.failing:
 		f.log.Info("store regained", "revision", next)
 		f.failing = false
 	}
+	f.alone = false
 	f.shut.Store(false)
+	f.direct.Store(true)
 	confirmed := time.Now()
 	if !b.listed && len(b.changes) == 0 && next > f.after {
 		// The store went on and told nothing: the watch missed changes while the history was dropped.
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -176,5 +176,8 @@
 			best, found = r, true
 		}
 	}
+	if last := f.last.Load(); !found && f.alone && last != nil && !now.Before(f.avoid[last.ID]) {
+		return *last, true // its place may have ended, but it may know who reads now
+	}
 	return best, found
 }
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -39,7 +39,7 @@
 	age      time.Duration
 }
 
-// serve answers another instance. Only a reader that the store answers passes on changes:
+// serve answers another instance. What an instance knows from others is never called fresh:
 // instances that followed each other could form a circle, in which nobody asks the store.
 func (f *Follower) serve(ctx context.Context, _ peer.InstanceID, request []byte) (proto.Message, error) {
 	var q peerpb.ChangesRequest
@@ -54,10 +54,16 @@
 			reply.Rows = append(reply.Rows, &peerpb.ConfigRow{Key: e.Key, Value: e.Value, Since: e.Revision})
 		}
 		reply.Revision, reply.Gone, age = revision, !known, since
-	} else if !f.passesOn() {
-		return nil, fault.New(fault.Unavailable, "this instance does not read the store for others", "ask a reader, or the store")
 	} else {
-		changes, revision, since, gone := f.tail.wait(ctx, q.After, min(time.Duration(q.WaitMs)*time.Millisecond, watchWait))
+		wait := min(time.Duration(q.WaitMs)*time.Millisecond, watchWait)
+		direct := f.passesOn()
+		if !direct {
+			wait = 0
+		}
+		changes, revision, since, gone := f.tail.wait(ctx, q.After, wait)
+		if !direct {
+			since = max(since, maxAge+time.Millisecond)
+		}
 		for _, c := range changes {
 			reply.Rows = append(reply.Rows, &peerpb.ConfigRow{Key: c.Key, Value: c.Value, Since: c.Revision, Deleted: c.Deleted})
 		}
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -423,3 +423,32 @@
 		is.True(fault.Is(err, fault.Unavailable))
 	})
 }
+
+// Guards against instances that still avoid the readers of other regions after an outage of the
+// whole store, although the store answers those readers again and turns the own region away.
+func TestRegionStaysWithoutStoreAfterOutage(t *testing.T) {
+	for name, fail := range map[string]func(p *storePath, on bool){
+		"turned away": func(p *storePath, on bool) { p.refused.Store(on) },
+		"silent":      func(p *storePath, on bool) { p.silent.Store(on) },
+	} {
+		for _, outage := range []time.Duration{time.Second, 2500 * time.Millisecond, 4 * time.Second} {
+			t.Run(fmt.Sprintf("%s for %s", name, outage), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					fl := newFleet(t, 12)
+					for _, path := range fl.paths {
+						fail(path, true)
+					}
+					time.Sleep(outage)
+					for i, path := range fl.paths {
+						fail(path, fl.followers[i].self.Region == "north")
+					}
+					time.Sleep(time.Second)
+					fl.log.put("config", "config xx")
+					time.Sleep(2 * time.Second)
+					is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+				})
+			})
+		}
+	}
+}
