Believe removals at once after a short refusal by the store

An upstream that left could get work for 2.2 s more at an instance one of whose calls had failed before, however long ago: since instances follow readers while the store turns them away, the mark of the failed call stayed until they asked the store again.

Entries lapse in an outage only when it takes heartbeats in a row, so removals wait only after a gap of 2 s with a failed call, or of 2.5 s. TestShortRefusalDoesNotDelayRemovals failed before ([u1 u2] != [u2]) and passes with all tests of the package, 10 runs with the race detector.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,6 +40,9 @@
 	// lapseGap is the time without word from the store after which entries may have lapsed in it: they do
 	// after three heartbeats of 1.5 s, of which one may have come just before.
 	lapseGap = 2500 * time.Millisecond
+	// failedGap is the same where a call failed meanwhile: an outage of that length can take two heartbeats
+	// in a row.
+	failedGap = 2 * time.Second
 	// startPause is the pause after the first list while no reader is known: all instances of a
 	// deployment may start at once, and the first readers are there within it.
 	startPause = 1200 * time.Millisecond
@@ -284,8 +287,8 @@
 
 // followStore asks the store once and reports whether it answered.
 func (f *Follower) followStore(ctx context.Context) bool {
-	b := batch{returned: f.failing, listed: !f.listed}
-	asked := time.Now()
+	b := batch{listed: !f.listed}
+	failed, asked := f.failing, time.Now()
 	var err error
 	var next uint64
 	if b.listed {
@@ -322,7 +325,8 @@
 		f.log.Info("changes missed", "after", f.after, "revision", next)
 		next, confirmed = f.after, asked
 	}
-	b.returned = b.returned || f.tail.gap(confirmed) > lapseGap
+	gap := f.tail.gap(confirmed)
+	b.returned = gap > lapseGap || failed && gap > failedGap
 	first := f.after == 0
 	if b.listed {
 		f.tail.reset(b.entries, next, confirmed)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -262,6 +262,27 @@
 	})
 }
 
+// Guards against removals that are not believed because of a single failed call: a leaving
+// upstream would get work for 2.2 s more.
+func TestShortRefusalDoesNotDelayRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newFakeLog()
+		l.put("config", "config x")
+		l.put("u1", "up p ready")
+		l.put("u2", "up p ready")
+		f := start(t, l)
+		time.Sleep(5 * time.Second)
+		l.set(func() { l.down = true })
+		time.Sleep(100 * time.Millisecond)
+		l.set(func() { l.down = false })
+		time.Sleep(500 * time.Millisecond)
+		l.remove("u1")
+		time.Sleep(time.Second)
+		is.Equal(upstreams(f), []string{"u2"})
+	})
+}
+
 // Guards against a call for each change of a storm, and against calls without pause while the store is down.
 func TestCallsAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
