--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -144,6 +144,15 @@
 	return f
 }
 
+// startWithUpstreams starts a follower of a store with two upstreams.
+func startWithUpstreams(t *testing.T) (*fakeLog, *Follower) {
+	l := newFakeLog()
+	l.put("config", "config x")
+	l.put("u1", "up p ready")
+	l.put("u2", "up p ready")
+	return l, start(t, l)
+}
+
 func upstreams(f *Follower) []string {
 	var ids []string
 	pool := f.Snapshot().Tables.Pools["p"]
@@ -179,11 +188,7 @@
 func TestLapsedEntriesAreKeptForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newFakeLog()
-		l.put("config", "config x")
-		l.put("u1", "up p ready")
-		l.put("u2", "up p ready")
-		f := start(t, l)
+		l, f := startWithUpstreams(t)
 		time.Sleep(time.Second)
 		l.set(func() { l.down = true })
 		time.Sleep(4 * time.Second)
@@ -202,11 +207,7 @@
 func TestLeavingUpstreamsAreOut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newFakeLog()
-		l.put("config", "config x")
-		l.put("u1", "up p ready")
-		l.put("u2", "up p ready")
-		f := start(t, l)
+		l, f := startWithUpstreams(t)
 		time.Sleep(time.Second)
 		l.put("u1", "up p leaving")
 		time.Sleep(time.Second)
@@ -267,11 +268,7 @@
 func TestShortRefusalDoesNotDelayRemovals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l := newFakeLog()
-		l.put("config", "config x")
-		l.put("u1", "up p ready")
-		l.put("u2", "up p ready")
-		f := start(t, l)
+		l, f := startWithUpstreams(t)
 		time.Sleep(5 * time.Second)
 		l.set(func() { l.down = true })
 		time.Sleep(100 * time.Millisecond)
