--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -34,8 +34,7 @@
 		if deadline, ok := ctx.Deadline(); ok {
 			limit = min(limit, time.Until(deadline))
 		}
-		// Ends just before the context does: thousands of contexts that end by their timers have crashed
-		// the race detector in virtual time.
+		// Ends just before the context does, so that no timer of a context fires.
 		pause.For(ctx, limit-time.Nanosecond)
 		return fault.New(fault.Unavailable, "silent", "wait")
 	}
@@ -199,6 +198,13 @@
 	return out
 }
 
+// learn changes the configuration and reports whether all instances but one have the change after the bound.
+func (fl *fleet) learn(bound time.Duration, except int) bool {
+	fl.log.put("config", "config xx")
+	time.Sleep(bound)
+	return !slices.ContainsFunc(fl.versions(except), func(v uint64) bool { return v != 2 })
+}
+
 func (fl *fleet) places() (n int) {
 	fl.log.mu.Lock()
 	defer fl.log.mu.Unlock()
@@ -219,9 +225,7 @@
 		before := fl.log.made()
 		time.Sleep(10 * time.Second)
 		is.True(fl.log.made()-before <= 2*11) // one call a second and reader
-		fl.log.put("config", "config xx")
-		time.Sleep(time.Second)
-		is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+		is.True(fl.learn(time.Second, -1))
 	})
 }
 
@@ -247,9 +251,7 @@
 					r := fl.reader(t)
 					fail(fl, r)
 					time.Sleep(wait)
-					fl.log.put("config", "config xx")
-					time.Sleep(bound)
-					is.True(!slices.ContainsFunc(fl.versions(r), func(v uint64) bool { return v != 2 }))
+					is.True(fl.learn(bound, r))
 					time.Sleep(placeLife + claimSpread + 2*placeRenew)
 					is.Equal(fl.places(), 2) // another instance has the place
 				})
@@ -331,9 +333,7 @@
 			fl.paths[r].deaf.Store(false)
 			fl.log.remove(placeKey(fl.followers[r].self.Region, 0))
 		}
-		fl.log.put("config", "config xx")
-		time.Sleep(2 * time.Second)
-		is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+		is.True(fl.learn(2*time.Second, -1))
 	})
 }
 
@@ -371,9 +371,7 @@
 						}
 					}
 					time.Sleep(wait)
-					fl.log.put("config", "config xx")
-					time.Sleep(bound)
-					is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+					is.True(fl.learn(bound, -1))
 				})
 			})
 		}
@@ -397,9 +395,7 @@
 					path.silent.Store(false)
 				}
 				time.Sleep(touch - bound)
-				fl.log.put("config", "config xx")
-				time.Sleep(bound)
-				is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+				is.True(fl.learn(bound, -1))
 			})
 		})
 	}
@@ -414,9 +410,7 @@
 		fl.log.set(func() { fl.log.oldest = fl.log.rev + 1 })
 		time.Sleep(time.Second)
 		fl.log.set(func() { fl.log.oldest = fl.log.rev })
-		fl.log.put("config", "config xx")
-		time.Sleep(2 * time.Second)
-		is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+		is.True(fl.learn(2*time.Second, -1))
 	})
 }
 
@@ -454,9 +448,7 @@
 						fail(path, fl.followers[i].self.Region == "north")
 					}
 					time.Sleep(time.Second)
-					fl.log.put("config", "config xx")
-					time.Sleep(2 * time.Second)
-					is.True(!slices.ContainsFunc(fl.versions(-1), func(v uint64) bool { return v != 2 }))
+					is.True(fl.learn(2*time.Second, -1))
 				})
 			})
 		}
