follow: ask the last reader while the store fails

Cause: an instance whose region the store turns away knows only the readers' keys. After an outage in which all leases ended it learned of their removal and then knew no reader. The last reader, which still read the store, was only asked after the next failed call to the store; until then the instance waited for the backoff (up to 1.8 s) and a silent call (0.8 s), so a change arrived more than 2 s late.

Ruled out: cycles of former readers, claims in progress, lost rows.

Change: the last reader is a candidate while the latest call to the store has failed. TestLastReaderIsAskedWhileStoreFails failed before.

--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -178,8 +178,8 @@
 			best, found = r, true
 		}
 	}
-	if last := f.lastReader.Load(); !found && f.isolated && last != nil && !now.Before(f.avoidUntil[last.ID]) {
-		return *last, true // its lease may have ended, but it may know the current readers
+	if last := f.lastReader.Load(); !found && f.storeFailing && last != nil && !now.Before(f.avoidUntil[last.ID]) {
+		return *last, true // its lease has ended, but it may still read the store or know the current readers
 	}
 	return best, found
 }
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -455,3 +455,19 @@
 		}
 	}
 }
+
+// Guards against an instance that asks nobody while it waits to retry the store: the leases of all readers
+// ended in an outage, and the last reader still knows the latest state.
+func TestLastReaderIsAskedWhileStoreFails(t *testing.T) {
+	is := is.New(t)
+	f := New(Options{Codec: textCodec{}, Peers: peertest.New(1).Join("e0/a", "10.0.0.1:1")}, logr.Discard())
+	f.readers.Store(&map[string]Reader{})
+	last := Reader{ID: "e5/a", Address: "10.0.0.5:1", Region: "south"}
+	f.lastReader.Store(&last)
+	_, ok := f.selectReader(time.Now())
+	is.True(!ok) // the store answers
+	f.storeFailing = true
+	r, ok := f.selectReader(time.Now())
+	is.True(ok)
+	is.Equal(r, last)
+}
