Divide the retry reserve and the connection limits by the number of instances

Change: the reader of a region counts the instances that ask it for changes and records the number in the store, a write for each growth by an eighth; all instances know it from their copy, also after a restart of all and while cut off from each other. Budgets start empty. An instance keeps four connections to an upstream in any case.

--- a/internal/entry/connpools.go
+++ b/internal/entry/connpools.go
@@ -9,8 +9,8 @@
 
 // connPools holds the connection pools of all upstreams in the tables.
 type connPools struct {
-	dialer       *dialer
-	maxInstances int
+	dialer    *dialer
+	instances func() int
 
 	mu    sync.RWMutex
 	pools map[connKey]*connPool
@@ -18,12 +18,18 @@
 
 type connKey struct{ pool, address string }
 
-func newConnPools(d *dialer, maxInstances int) *connPools {
-	return &connPools{dialer: d, maxInstances: max(maxInstances, 1), pools: map[connKey]*connPool{}}
+func newConnPools(d *dialer, instances func() int) *connPools {
+	return &connPools{dialer: d, instances: instances, pools: map[connKey]*connPool{}}
 }
 
+// minConnections is the number of connections to an upstream that an instance may use in any case: for a probe, a
+// request, its second copy and an attempt that is ending.
+const minConnections = 4
+
 // share returns the part of an upstream's connection limit that one instance may use without a grant.
-func (p *connPools) share(connections int) int { return max(connections/p.maxInstances, 1) }
+func (p *connPools) share(connections int) int {
+	return max(connections/max(p.instances(), 1), min(connections, minConnections))
+}
 
 func (p *connPools) forUpstream(pool *table.Pool, address string) *connPool {
 	key := connKey{pool.Name, address}
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -27,6 +27,9 @@
 	RoutineVerbosity int
 	// Direct sends requests received outside their home regions directly to upstreams inside them, without Relay.
 	Direct bool
+	// Instances returns the number of instances that share the connection limits of upstreams; the default is
+	// Limits.MaxInstances of the settings.
+	Instances func() int
 }
 
 func (p *Ports) setDefaults() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,7 +83,11 @@
 func New(cfg settings.Settings, snapshots Snapshots, ports Ports, log logr.Logger) *Entry {
 	ports.setDefaults()
 	e := &Entry{cfg: cfg, snapshots: snapshots, ports: ports, proto: *ports.Protocol, routineVerbosity: ports.RoutineVerbosity, log: log, timing: defaultTiming, metrics: newTelemetry(), deadlines: newDeadlineHistory()}
-	e.conns = newConnPools(newDialer(maxResponseHeader), cfg.Limits.MaxInstances)
+	instances := ports.Instances
+	if instances == nil {
+		instances = func() int { return cfg.Limits.MaxInstances }
+	}
+	e.conns = newConnPools(newDialer(maxResponseHeader), instances)
 	e.relayDialer = newRelayDialer(maxResponseHeader)
 	e.relayListener = newStreamListener()
 	e.server = e.newServer(false)
--- /dev/null
+++ b/internal/follow/fleet_test.go
@@ -0,0 +1,102 @@
+package follow
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/peer"
+	"github.com/turmericsail/turmericsail/pkg/store"
+)
+
+// Guards against shares of a common limit that are too large because instances do not know how many they are: the
+// number must be known to all within seconds, after a restart of all at once, and never be too low.
+func TestAllInstancesKnowTheirNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size = 40
+		fl := newFleet(t, size)
+		known := func(from, atLeast int) {
+			t.Helper()
+			for _, f := range fl.followers[from:] {
+				is.True(f.Instances() >= atLeast)
+				is.True(float64(f.Instances()) <= 1.25*float64(atLeast))
+			}
+		}
+		known(0, size)
+
+		for i := range size { // all restart while the store keeps the numbers
+			fl.net.Crash(fl.ids[i])
+			fl.stops[i]()
+		}
+		for i := range size {
+			fl.start(t, i, "b")
+		}
+		time.Sleep(100 * time.Millisecond)
+		known(size, size)
+
+		for i := range size { // as many join
+			fl.start(t, size+i, "a")
+		}
+		time.Sleep(12 * time.Second)
+		known(size, 2*size)
+		time.Sleep(30 * time.Second)
+		written := int64(0)
+		for _, c := range fl.connections {
+			written += c.writes.Load()
+		}
+		is.True(written <= 12) // the number of writes does not grow with the number of instances
+	})
+}
+
+// Guards against a number that follows every restart, and against one that falls because the reader is cut off
+// from the others.
+func TestRecordedNumber(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		name              string
+		counted, recorded int
+		lowFor            time.Duration
+		want              int
+	}{
+		{"first", 8, 0, 0, 9},
+		{"same", 8, 9, time.Minute, 0},
+		{"grown", 16, 9, 0, 18},
+		{"a few restart", 7, 9, time.Minute, 0},
+		{"half restart", 4, 9, shrinkDelay - time.Second, 0},
+		{"half are gone", 4, 9, shrinkDelay, 4},
+		{"cut off from all", 1, 9, time.Minute, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			counter := newInstanceCounter()
+			ask := func(at time.Time) {
+				for i := range c.counted - 1 {
+					counter.record(peer.InstanceID(fmt.Sprintf("e%d/a", i)), at)
+					counter.record(peer.InstanceID(fmt.Sprintf("e%d/b", i)), at) // the same instance, restarted
+				}
+			}
+			for at := time.Duration(0); at < c.lowFor; at += time.Second {
+				ask(now.Add(at))
+				is.Equal(counter.next(c.recorded, now.Add(at)), 0)
+			}
+			ask(now.Add(c.lowFor))
+			is.Equal(counter.next(c.recorded, now.Add(c.lowFor)), c.want)
+		})
+	}
+}
+
+// Guards against a total that omits regions without a reader, and against a record that cannot be read.
+func TestTotalInstances(t *testing.T) {
+	is := is.New(t)
+	is.Equal(totalInstances(map[string]int{}, 3), 0)
+	is.Equal(totalInstances(map[string]int{"north": 5}, 3), 15)
+	is.Equal(totalInstances(map[string]int{"north": 5, "south": 2, "east": 1}, 3), 8)
+	for _, value := range []string{"", "0", "-3", "many"} {
+		_, err := decodeFleetSize(store.Entry{Key: fleetPrefix + "north", Value: []byte(value)})
+		is.True(err != nil)
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -76,6 +76,10 @@
 	Ephemeral store.EphemeralKeys
 	Peers     peer.Transport
 	Self      Self
+	// Writer records the number of instances in the store; without it none is recorded.
+	Writer store.Writer
+	// Regions is the number of regions of the deployment.
+	Regions int
 	// Seeds are addresses of other instances. A starting instance asks them for the state while the store does
 	// not answer.
 	Seeds []string
@@ -94,6 +98,10 @@
 	seeds      []string
 	dial       func(ctx context.Context, address string) (peer.InstanceID, error)
 	replica    *replica
+	writer     store.Writer
+	regions    int
+	counter    *instanceCounter
+	fleet      atomic.Pointer[map[string]int] // recorded numbers of instances by region
 	readers    atomic.Pointer[map[string]Reader]
 	lastReader atomic.Pointer[Reader] // the latest reader that was fresh or had new changes
 	isReader   atomic.Bool            // this instance holds a reader lease
@@ -123,7 +131,7 @@
 func New(opts Options, log logr.Logger) *Follower {
 	f := &Follower{
 		source: opts.Source, codec: opts.Codec, ephemeral: opts.Ephemeral, peers: opts.Peers, self: opts.Self, seeds: opts.Seeds, dial: opts.Dial, log: log,
-		replica: newReplica(), updates: make(chan update), avoidUntil: map[peer.InstanceID]time.Time{},
+		replica: newReplica(), writer: opts.Writer, regions: opts.Regions, counter: newInstanceCounter(), updates: make(chan update), avoidUntil: map[peer.InstanceID]time.Time{},
 	}
 	f.current.Store(&control.Snapshot{})
 	metrics.GetOrCreateGauge("turmericsail_store_knowledge_age_seconds", f.replica.age)
@@ -436,6 +444,8 @@
 func (f *Follower) publish(state *followedState) {
 	readers := state.readers()
 	f.readers.Store(&readers)
+	sizes := state.fleetSizes()
+	f.fleet.Store(&sizes)
 	tables, problems := state.tables()
 	if tables == nil {
 		return
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -74,6 +74,7 @@
 type readerLease struct {
 	key   string
 	lease store.LeaseID
+	since time.Time
 }
 
 // maintainReaderLease acquires and renews a reader lease in the own region until ctx ends.
@@ -82,7 +83,9 @@
 	for ctx.Err() == nil {
 		if held.lease == "" {
 			held = f.acquireReaderLease(ctx)
-		} else if !f.renewReaderLease(ctx, held) {
+		} else if f.renewReaderLease(ctx, held) {
+			f.recordInstances(ctx, held.since)
+		} else {
 			held = readerLease{}
 		}
 		pause.For(ctx, readerLeaseRenewal)
@@ -125,7 +128,7 @@
 		return readerLease{}
 	}
 	f.log.Info("reader place taken", "key", key)
-	return readerLease{key, lease}
+	return readerLease{key, lease, time.Now()}
 }
 
 // renewReaderLease renews a lease and reports whether it is still held.
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -43,11 +43,14 @@
 // handleChanges serves the requests of other instances. Changes that this instance received from another
 // one are never reported as fresh: instances that fetch from each other in a cycle would otherwise never
 // call the store. The answer to a request for all entries has the age of the data in any case.
-func (f *Follower) handleChanges(ctx context.Context, _ peer.InstanceID, payload []byte) (proto.Message, error) {
+func (f *Follower) handleChanges(ctx context.Context, from peer.InstanceID, payload []byte) (proto.Message, error) {
 	var request peerpb.ChangesRequest
 	if err := proto.Unmarshal(payload, &request); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "the request cannot be decoded", "send a ChangesRequest")
 	}
+	if request.Region == f.self.Region {
+		f.counter.record(from, time.Now())
+	}
 	reply := &peerpb.ChangesReply{}
 	var age time.Duration
 	if request.Full {
@@ -91,6 +94,7 @@
 
 func (f *Follower) callInstance(ctx context.Context, to peer.InstanceID, request *peerpb.ChangesRequest) (readerReply, error) {
 	var reply peerpb.ChangesReply
+	request.Region = f.self.Region
 	if err := f.peers.Call(peer.WithTraffic(ctx, peer.CallPath), to, Service, request, &reply); err != nil {
 		return readerReply{}, err
 	}
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -26,6 +26,7 @@
 type storeConnection struct {
 	*fakeLog
 	refused, unresponsive, missesChanges, leaseLost, listFails atomic.Bool
+	writes                                                     atomic.Int64
 }
 
 func (c *storeConnection) connectionError(ctx context.Context) error {
@@ -93,6 +94,15 @@
 	return id, nil
 }
 
+func (c *storeConnection) Write(ctx context.Context, key string, value []byte) error {
+	if err := c.connectionError(ctx); err != nil {
+		return err
+	}
+	c.writes.Add(1)
+	c.put(key, string(value))
+	return nil
+}
+
 // lease starts a lease; its key is removed unless the lease is renewed.
 func (l *fakeLog) lease(key string, ttl time.Duration) store.LeaseID {
 	id := store.LeaseID(strconv.Itoa(len(l.leases) + 1))
@@ -154,21 +164,26 @@
 		time.Sleep(time.Minute) // pending calls end
 	})
 	for i := range size {
-		id := peer.InstanceID(fmt.Sprintf("e%d/a", i))
-		node := fl.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i))
-		connection := &storeConnection{fakeLog: fl.store}
-		self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: []string{"north", "south"}[i%2]}}
-		f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: node, Self: self}, logr.Discard())
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() { _ = f.Run(ctx); close(done) }()
-		t.Cleanup(func() { cancel(); <-done })
-		fl.followers, fl.connections, fl.ids, fl.stops = append(fl.followers, f), append(fl.connections, connection), append(fl.ids, id), append(fl.stops, cancel)
+		fl.start(t, i, "a")
 	}
 	time.Sleep(8 * time.Second)
 	return fl
 }
 
+// start starts an instance with the given incarnation.
+func (fl *fleet) start(t *testing.T, i int, incarnation string) {
+	id := peer.InstanceID(fmt.Sprintf("e%d/%s", i, incarnation))
+	node := fl.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i))
+	connection := &storeConnection{fakeLog: fl.store}
+	self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: []string{"north", "south"}[i%2]}}
+	f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: node, Self: self, Writer: connection, Regions: 2}, logr.Discard())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	fl.followers, fl.connections, fl.ids, fl.stops = append(fl.followers, f), append(fl.connections, connection), append(fl.ids, id), append(fl.stops, cancel)
+}
+
 // reader returns the index of an instance that reads the store for others.
 func (fl *fleet) reader(t *testing.T) int {
 	readers := fl.readers()
@@ -293,7 +308,7 @@
 		entries = append(entries, store.Entry{Key: fmt.Sprint(i), Value: []byte(strings.Repeat("v", 100)), Revision: uint64(i + 1)})
 	}
 	r.reset(entries, 100, time.Now())
-	f := &Follower{replica: r}
+	f := &Follower{replica: r, counter: newInstanceCounter()}
 	reply, err := f.handleChanges(context.Background(), "a", []byte{0x18, 1}) // full = true
 	is.NoErr(err)
 	packed := reply.(interface{ GetPacked() []byte }).GetPacked()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -29,6 +29,7 @@
 	EvacuatedFailureDomain string
 	Upstream               *store.ListedInstance
 	reader                 *Reader
+	fleetSize              *fleetSize
 }
 
 // Codec decodes the keys that the operator and the upstreams write.
@@ -106,6 +107,8 @@
 	var err error
 	if strings.HasPrefix(e.Key, readersPrefix) {
 		decoded.reader, err = decodeReader(e)
+	} else if strings.HasPrefix(e.Key, fleetPrefix) {
+		decoded.fleetSize, err = decodeFleetSize(e)
 	} else {
 		decoded, err = s.codec.Decode(e)
 	}
@@ -161,6 +164,17 @@
 	return readers
 }
 
+// fleetSizes returns the recorded numbers of instances by region.
+func (s *followedState) fleetSizes() map[string]int {
+	sizes := map[string]int{}
+	for _, r := range s.records {
+		if size := r.decoded.fleetSize; size != nil {
+			sizes[size.region] = size.instances
+		}
+	}
+	return sizes
+}
+
 // tables builds the tables in force, or nil without a configuration.
 func (s *followedState) tables() (*table.Tables, table.Problems) {
 	if s.config == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,7 +42,7 @@
 	}{
 		{PeerTransport, &peerService{cfg: cfg, log: log.WithName(PeerTransport)}},
 		{ControlFollow, &followService{cfg: cfg, log: log.WithName(ControlFollow)}},
-		{EntryHTTP, &entryService{cfg: cfg, budgets: newRetryBudgets(bounds, cfg.Limits.MaxInstances), log: log.WithName(EntryHTTP)}},
+		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
 		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), log: log.WithName(EntryLeave)}},
 	} {
@@ -80,6 +80,7 @@
 type entryService struct {
 	*entry.Entry
 	cfg     settings.Settings
+	bounds  platform.Bounds
 	budgets *retryBudgets
 	log     logr.Logger
 }
@@ -96,14 +97,27 @@
 	if err != nil {
 		return err
 	}
+	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
+	c.budgets = newRetryBudgets(c.bounds, instances)
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1,
+		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances,
 	}, c.log)
 	adapter.bind(c.cfg, c.Entry, c.log)
 	return nil
 }
 
+// instanceCount returns a function for the number of instances that share a limit: the recorded one, or the
+// largest possible one while none is recorded.
+func instanceCount(recorded func() int, largest int) func() int {
+	return func() int {
+		if n := recorded(); n > 0 {
+			return n
+		}
+		return max(largest, 1)
+	}
+}
+
 // adminService is the admin listener, on which the platform also checks readiness.
 type adminService struct {
 	*admin.Server
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -76,9 +76,6 @@
 	// retryBudgetShare is the part of the platform's retry ratio that is used. The rest allows for requests that
 	// the platform counts in another time window than this instance.
 	retryBudgetShare = 0.8
-	// initialRetryGrant is the number of further attempts that an instance may make for a pool before it has seen
-	// enough requests. Over all instances it stays within the reserve of the platform's bound.
-	initialRetryGrant = 1
 	// hedgeDelayShare is the share of the target latency after which a second copy of an idempotent request is
 	// sent. It leaves time for one typical run.
 	hedgeDelayShare = 0.55
@@ -87,12 +84,13 @@
 )
 
 // retryBudgets bounds further attempts to a share of the requests of each pool. Every
-// instance keeps the share for its own requests, so the total over all instances keeps it too.
+// instance keeps the share for its own requests and accumulates at most its part of the reserve, so the total over
+// all instances keeps both. Budgets start empty: instances that restart get no reserve anew.
 type retryBudgets struct {
-	instances int
+	instances func() int
 	mu        sync.Mutex
 	percent   float64
-	burst     int
+	reserve   int // of all instances
 	pools     map[string]*retry.Budget
 }
 
@@ -101,7 +99,7 @@
 	_ entry.Hedger      = (*retryBudgets)(nil)
 )
 
-func newRetryBudgets(b platform.Bounds, instances int) *retryBudgets {
+func newRetryBudgets(b platform.Bounds, instances func() int) *retryBudgets {
 	budgets := &retryBudgets{instances: instances}
 	budgets.set(b)
 	return budgets
@@ -112,7 +110,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.percent = retryBudgetShare * bounds.RetryPercent
-	b.burst = max(bounds.RetryReserve/max(b.instances, 1), 2)
+	b.reserve = bounds.RetryReserve
 	b.pools = map[string]*retry.Budget{}
 }
 
@@ -121,10 +119,10 @@
 	defer b.mu.Unlock()
 	p := b.pools[pool]
 	if p == nil {
-		p = retry.NewBudget(b.percent, b.burst)
-		p.Grant(initialRetryGrant)
+		p = retry.NewBudget(b.percent, 0)
 		b.pools[pool] = p
 	}
+	p.SetBurst(float64(b.reserve) / float64(b.instances()))
 	return p
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -84,7 +85,7 @@
 	}
 	client := platform.NewStore(f.cfg.Platform.Store)
 	options := follow.Options{
-		Source: client, Codec: platform.Codec{Regions: f.cfg.Platform.Domains}, Ephemeral: client,
+		Source: client, Codec: platform.Codec{Regions: f.cfg.Platform.Domains}, Ephemeral: client, Writer: client, Regions: distinct(f.cfg.Regions),
 		Self: follow.Self{LinkMbps: f.cfg.Platform.LinkMbps},
 	}
 	options.Self.Region = f.cfg.Region
@@ -98,3 +99,10 @@
 	}
 	return nil
 }
+
+// distinct returns the number of different strings in a list.
+func distinct(list []string) int {
+	list = slices.Clone(list)
+	slices.Sort(list)
+	return len(slices.Compact(list))
+}
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -206,7 +206,9 @@
 	is := is.New(t)
 	b := NewBudget(20, 3)
 	is.True(!b.Take())
-	b.Grant(9)
+	for range 20 {
+		b.Request()
+	}
 	is.True(b.TakeSpare())
 	is.True(b.TakeSpare())
 	is.True(!b.TakeSpare())
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -180,6 +180,12 @@
 	Release(ctx context.Context, id LeaseID) error
 }
 
+// Writer writes single keys, whatever their revision.
+type Writer interface {
+	// Write writes a key. After an OutcomeUnknown fault it may have been written, or may be written later.
+	Write(ctx context.Context, key string, value []byte) error
+}
+
 // ChangeLog is a store that reports its changes one by one.
 type ChangeLog interface {
 	// List returns the entries under prefix and a revision. The entries may lack changes after that revision,
