Keep the probes of all instances below the platform's limit

Cause: nothing bounded the probes.

Change: probes_per_s of the bounds is in force. Each instance gets the right to its part of 0.9 of the limit, which follows from the number of instances, at a steady rate and at its own times; a right lasts 3 s. So any thirty seconds stay below the limit without messages, for any number of instances, joins and restarts. Without a right an upstream is judged by its last reading up to 250 ms, then by own requests alone; while the pool is overloaded it is left out instead, and one not seen warm for 5 s gets one request each 0.7 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
 	"github.com/turmericsail/turmericsail/pkg/pause"
+	"github.com/turmericsail/turmericsail/pkg/placement/sampled"
 	"github.com/turmericsail/turmericsail/platform"
 )
 
@@ -68,6 +69,7 @@
 		return err
 	}
 	c.budgets.set(bounds)
+	c.probes.SetLimit(bounds.ProbesPerSecond)
 	old := c.cfg
 	old.Platform = nil
 	next := cfg
@@ -82,6 +84,7 @@
 	cfg     settings.Settings
 	bounds  platform.Bounds
 	budgets *retryBudgets
+	probes  *sampled.ProbeBudget
 	log     logr.Logger
 }
 
@@ -99,11 +102,12 @@
 	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
 	c.budgets = newRetryBudgets(c.bounds, instances)
+	c.probes = sampled.NewProbeBudget(c.bounds.ProbesPerSecond, instances)
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
 		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances,
 	}, c.log)
-	adapter.bind(c.cfg, c.Entry, c.log)
+	adapter.bind(c.cfg, c.Entry, c.probes, c.log)
 	return nil
 }
 
--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -37,11 +37,12 @@
 	suspicion float64
 	pending   int
 	// cost is the estimate from the latest reading; probed is false before the first one.
-	cost     time.Duration
-	reading  Reading
-	probed   bool
-	excluded bool // the probe failed, the request yields the last slot, or the upstream is cold and has other or recent requests
-	inSubset bool // belongs to the instance's subset of the pool
+	cost      time.Duration
+	reading   Reading
+	probed    bool
+	mayBeCold bool // gets one request at a time
+	excluded  bool // the probe failed, the request yields the last slot, or the upstream is cold and has other or recent requests
+	inSubset  bool // belongs to the instance's subset of the pool
 }
 
 // rank sorts candidates into probing order: the nearest first, suspects last, ties in random order.
@@ -72,6 +73,9 @@
 // two seconds.
 const suspicionThreshold = 0.5
 
+// hasReading reports whether the candidate was judged by a reading of its load.
+func (c *candidate) hasReading() bool { return c.reading.Loaded || c.reading.Upstream != "" }
+
 func (c *candidate) remote() bool { return c.distance == OtherRegion }
 
 // subsetSize is the number of upstreams in an instance's subset of a pool, which it
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -67,7 +67,8 @@
 	log      logr.Logger
 	suspects *suspicions
 	sizes    *responseSizes
-	full     *fullUpstreams
+	readings *lastReadings
+	probes   *ProbeBudget // nil without a limit
 	meter    meter
 
 	mu        sync.Mutex
@@ -77,8 +78,8 @@
 }
 
 // New returns a policy for the instance at the given location.
-func New(place Location, prober Prober, log logr.Logger) *Policy {
-	return &Policy{location: place, prober: prober, log: log, suspects: newSuspicions(), sizes: newResponseSizes(), full: newFullUpstreams(), pending: map[string]int{}, pressures: map[string]*pressure{}, coldAt: map[string]time.Time{}}
+func New(place Location, prober Prober, probes *ProbeBudget, log logr.Logger) *Policy {
+	return &Policy{location: place, prober: prober, probes: probes, log: log, suspects: newSuspicions(), sizes: newResponseSizes(), readings: newLastReadings(), pending: map[string]int{}, pressures: map[string]*pressure{}, coldAt: map[string]time.Time{}}
 }
 
 // Choice is a chosen upstream. The caller must call Done when the attempt has ended.
@@ -87,6 +88,8 @@
 	Upstream table.Upstream
 	Reading  Reading
 	route    string
+	pool     string
+	blind    bool // chosen without a reading of its load
 	once     sync.Once
 }
 
@@ -101,7 +104,7 @@
 	rounds := 0
 	for first := true; ; first = false {
 		list := p.candidates(r, ch.overloaded())
-		if len(list) == 0 {
+		if len(list) == 0 && !r.Pool.AnyEligible(r.Route, r.Tried) {
 			return nil, &RefusedError{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.retryAfter(time.Now(), rand.Float64())}
 		}
 		rank(list)
@@ -116,12 +119,12 @@
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
-		if first {
-			recent.record(b == nil || !hasHeadroom(b.reading))
+		if first && (len(list) == 0 || slices.ContainsFunc(list, (*candidate).hasReading)) {
+			recent.record(b == nil || !b.hasReading() || !hasHeadroom(b.reading))
 		}
 		switch {
 		case v == accept:
-			if c := p.reserve(b, r.Route.Name); c != nil {
+			if c := p.reserve(b, r); c != nil {
 				p.meter.placed(r, time.Since(b.reading.At), rounds)
 				p.log.V(1).Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
 					"waited", time.Since(r.Start).String(), "running", b.reading.Running, "waiting", b.reading.Waiting,
@@ -161,9 +164,18 @@
 func (p *Policy) probeCandidates(ctx context.Context, ch *chooser, r Request, list []*candidate, rounds *int) (verdict, *candidate) {
 	for from := 0; ; {
 		to := min(from+sampleSize, len(list))
-		*rounds++
-		if c := p.probeGroup(ctx, ch, r, list[from:to]); c != nil {
-			return accept, c
+		allowed := from + p.probes.take(r.Pool.Name, len(r.Pool.Upstreams), to-from, time.Now())
+		if allowed > from {
+			*rounds++
+			if c := p.probeGroup(ctx, ch, r, list[from:allowed]); c != nil {
+				return accept, c
+			}
+		}
+		if allowed < to { // the budget is used up: the rest is judged by its last readings
+			to = len(list)
+			for _, c := range list[allowed:] {
+				p.applyLastReading(ch, c, time.Now())
+			}
 		}
 		from = to
 		b := best(list)
@@ -223,19 +235,43 @@
 		p.suspects.recordFailure(c.upstream.ID, weight, time.Now())
 		return
 	}
+	p.readings.record(c.upstream.ID, r, c.pending)
+	p.judge(ch, c, r)
+}
+
+// applyLastReading updates the candidate from its last reading. Without a recent one only the requests of this instance
+// are known. Such a candidate is excluded while the pool is overloaded, since it is probably full, and gets as
+// few requests as a cold one if it was not seen warm lately.
+func (p *Policy) applyLastReading(ch *chooser, c *candidate, now time.Time) {
+	c.probed = true
+	if r, known := p.readings.at(c.upstream.ID, c.pending, maxReadingAge, now); known {
+		p.judge(ch, c, r)
+		return
+	}
+	p.judge(ch, c, Reading{At: now, Healthy: true})
+	r, known := p.readings.at(c.upstream.ID, c.pending, maxWarmAge, now)
+	c.mayBeCold = !known || r.Cold > 0
+	c.excluded = ch.overloaded() || c.mayBeCold && p.sentWhileCold(c.upstream.ID, now)
+}
+
+// sentWhileCold reports whether this instance has just sent a request to an upstream that was cold.
+func (p *Policy) sentWhileCold(id string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.coldAt[id]) < coldRequestInterval
+}
+
+// judge estimates the response time of the candidate from a reading and decides whether it may be used.
+func (p *Policy) judge(ch *chooser, c *candidate, r Reading) {
 	if !r.Loaded { // only the in-flight requests of this instance are known
 		r.Running, r.Slots, r.Slowdown = c.pending, max(r.Slots, 1), 1
 	}
 	c.reading = r
 	c.cost = estimate(r, c.distance, c.suspicion, ch.target)
 	c.excluded = ch.yields(r)
-	if c.remote() {
-		p.full.record(c.upstream.ID, !hasHeadroom(r), time.Now())
-	}
 	if r.Cold > 0 {
-		p.mu.Lock()
-		c.excluded = r.Running+r.Waiting > 0 || time.Since(p.coldAt[c.upstream.ID]) < coldRequestInterval
-		p.mu.Unlock()
+		c.mayBeCold = true
+		c.excluded = r.Running+r.Waiting > 0 || p.sentWhileCold(c.upstream.ID, time.Now())
 	}
 }
 
@@ -261,17 +297,17 @@
 	list := make([]*candidate, 0, len(near.subset)+len(near.others)+len(far.subset))
 	add := func(index int, inSubset bool) {
 		u := r.Pool.Upstreams[index]
-		list = append(list, &candidate{upstream: u, distance: p.location.distance(u), suspicion: p.suspects.level(u.ID, now), pending: p.pending[u.ID], inSubset: inSubset})
+		distance := p.location.distance(u)
+		if distance == OtherRegion && near.seen > 0 && overloaded && p.readings.isFull(u.ID, p.pending[u.ID], now) {
+			return
+		}
+		list = append(list, &candidate{upstream: u, distance: distance, suspicion: p.suspects.level(u.ID, now), pending: p.pending[u.ID], inSubset: inSubset})
 	}
 	near.each(add)
 	if near.seen > 0 {
 		far.others = nil
 	}
-	far.each(func(index int, inSubset bool) {
-		if near.seen == 0 || !overloaded || !p.full.isFull(r.Pool.Upstreams[index].ID, now) {
-			add(index, inSubset)
-		}
-	})
+	far.each(add)
 	return list
 }
 
@@ -289,18 +325,18 @@
 
 // reserve counts the request as in flight at its upstream. It returns nil if another
 // request of this instance has been sent to the same cold upstream since the probe.
-func (p *Policy) reserve(c *candidate, route string) *Choice {
+func (p *Policy) reserve(c *candidate, r Request) *Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	id := c.upstream.ID
-	if c.reading.Cold > 0 {
+	if c.mayBeCold {
 		if time.Since(p.coldAt[id]) < coldRequestInterval {
 			return nil
 		}
 		p.coldAt[id] = time.Now()
 	}
 	p.pending[id]++
-	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: route}
+	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: r.Route.Name, pool: r.Pool.Name, blind: !c.hasReading()}
 }
 
 // Outcome is how an attempt ended, as far as it concerns the upstream.
@@ -324,6 +360,9 @@
 			delete(p.pending, c.Upstream.ID)
 		}
 		p.mu.Unlock()
+		if c.blind && e != Unknown {
+			p.poolPressure(c.pool).record(e != Succeeded)
+		}
 		switch e {
 		case Failed:
 			p.suspects.recordFailure(c.Upstream.ID, 1, time.Now())
--- a/pkg/placement/sampled/scenario_test.go
+++ b/pkg/placement/sampled/scenario_test.go
@@ -141,7 +141,7 @@
 
 // sampledPolicy uses the policy of this package, a separate one for each instance.
 func sampledPolicy(w *simWorld, instance int) chooseFunc {
-	p := New(Location{Region: "north", FailureDomain: fmt.Sprintf("north-%d", instance%2)}, w, logr.Discard())
+	p := New(Location{Region: "north", FailureDomain: fmt.Sprintf("north-%d", instance%2)}, w, nil, logr.Discard())
 	return func(ctx context.Context, r Request) (string, func(Outcome), error) {
 		c, err := p.Choose(ctx, r)
 		if err != nil {
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -202,10 +202,16 @@
 
 // run sends rate requests per second through instances that share no state.
 func (w *simWorld) run(instances int, rate float64, length time.Duration, seed uint64) result {
+	unlimited := func() *ProbeBudget { return nil }
+	return w.runWithin(unlimited, instances, rate, length, seed)
+}
+
+// runWithin is run with a probe budget for each instance.
+func (w *simWorld) runWithin(budget func() *ProbeBudget, instances int, rate float64, length time.Duration, seed uint64) result {
 	var policies []*Policy
 	for i := range instances {
 		place := Location{Region: "north", FailureDomain: fmt.Sprintf("north-%d", i%2)}
-		policies = append(policies, New(place, w, logr.Discard()))
+		policies = append(policies, New(place, w, budget(), logr.Discard()))
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	stop := w.start(nil)
@@ -407,18 +413,33 @@
 	})
 }
 
-// Guards against a memory leak: an entry for every upstream that was ever full.
-func TestFullUpstreamsAreBounded(t *testing.T) {
+// Guards against a memory leak: an entry for every upstream that was ever probed.
+func TestReadingsAreBounded(t *testing.T) {
 	is := is.New(t)
-	f, now := newFullUpstreams(), time.Unix(1000, 0)
-	for i := range 3 * maxFullUpstreams {
+	l, now := newLastReadings(), time.Unix(1000, 0)
+	full := Reading{Loaded: true, Running: simSlots, Slots: simSlots}
+	for i := range 3 * maxReadings {
 		now = now.Add(time.Millisecond)
-		f.record(fmt.Sprint(i), true, now)
-		is.True(len(f.until) <= maxFullUpstreams)
-		is.True(f.isFull(fmt.Sprint(i), now))
+		full.At = now
+		l.record(fmt.Sprint(i), full, 0)
+		is.True(len(l.list) <= maxReadings)
 	}
-	f.record("0", false, now)
-	is.True(!f.isFull("0", now))
+}
+
+// Guards against a reading that is used for too long, and against one that omits what this instance has sent
+// and finished since.
+func TestReadingsAge(t *testing.T) {
+	is := is.New(t)
+	l, now := newLastReadings(), time.Unix(1000, 0)
+	l.record("u", Reading{At: now, Loaded: true, Running: 2, Slots: simSlots}, 1)
+	is.True(!l.isFull("u", 1, now))
+	is.True(l.isFull("u", 2, now))
+	is.True(!l.isFull("u", 2, now.Add(remoteFullTTL+1)))
+	r, known := l.at("u", 0, maxReadingAge, now.Add(maxReadingAge))
+	is.True(known)
+	is.Equal(r.Running, 1)
+	_, known = l.at("u", 0, maxReadingAge, now.Add(maxReadingAge+1))
+	is.True(!known)
 }
 
 // Guards against the crash of a cold upstream: in any second it may get at most 1.5
@@ -464,7 +485,7 @@
 	w := newSimWorld(1000, 0)
 	all := map[string]int{}
 	for n := range 300 {
-		p := New(Location{Instance: fmt.Sprintf("e%d", n), Region: "north", FailureDomain: "north-0"}, w, logr.Discard())
+		p := New(Location{Instance: fmt.Sprintf("e%d", n), Region: "north", FailureDomain: "north-0"}, w, nil, logr.Discard())
 		list := p.candidates(Request{Pool: &w.pool, Route: &w.route}, false)
 		is.True(len(list) <= 2*subsetSize)
 		for _, c := range list {
