Let the rights to probes accumulate, and serve without one while the pool is not full

Change: 0.95 of the limit, accumulating for a minute; the average since the start stays below it by construction. Without a right an upstream is used unless a probe for this request or most of the latest readings found upstreams full. A quick response counts as a sign that an upstream is warm.

--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -150,6 +150,8 @@
 	deadline time.Time
 	start    time.Time
 	pressure float64 // pressure of the pool when the choice began
+	pool     *pressure
+	sawFull  bool // a probe for this request found an upstream without headroom
 }
 
 // best returns the usable candidate with the lowest cost, or nil.
@@ -214,8 +216,33 @@
 // later ones that could still meet their target, so the higher the pressure, the
 // sooner a request is refused.
 type pressure struct {
-	mu    sync.Mutex
-	share float64
+	mu        sync.Mutex
+	share     float64
+	fullShare float64 // of the latest readings
+}
+
+const (
+	// readingWeight is the weight of one reading in the share of full upstreams.
+	readingWeight = 0.2
+	// maxBlindFullShare is the share of full upstreams above which no request is sent to one whose load is not known.
+	maxBlindFullShare = 0.5
+)
+
+// observe counts a reading of an upstream of the pool.
+func (p *pressure) observe(full bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fullShare *= 1 - readingWeight
+	if full {
+		p.fullShare += readingWeight
+	}
+}
+
+// mostlyFull reports whether an upstream whose load is not known is probably full.
+func (p *pressure) mostlyFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fullShare > maxBlindFullShare
 }
 
 // record counts a request; full is set if it found no upstream with headroom.
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -90,6 +90,8 @@
 	route    string
 	pool     string
 	blind    bool // chosen without a reading of its load
+	at       time.Time
+	warmTime time.Duration // a response within it shows that the upstream is warm
 	once     sync.Once
 }
 
@@ -100,7 +102,7 @@
 		deadline = r.Start.Add(r.Route.Deadline.Std())
 	}
 	recent := p.poolPressure(r.Pool.Name)
-	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: recent.level()}
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: recent.level(), pool: recent}
 	rounds := 0
 	for first := true; ; first = false {
 		list := p.candidates(r, ch.overloaded())
@@ -236,11 +238,13 @@
 		return
 	}
 	p.readings.record(c.upstream.ID, r, c.pending)
+	ch.pool.observe(!hasHeadroom(r))
+	ch.sawFull = ch.sawFull || !hasHeadroom(r)
 	p.judge(ch, c, r)
 }
 
 // applyLastReading updates the candidate from its last reading. Without a recent one only the requests of this instance
-// are known. Such a candidate is excluded while the pool is overloaded, since it is probably full, and gets as
+// are known. Such a candidate is excluded while it is probably full, and gets as
 // few requests as a cold one if it was not seen warm lately.
 func (p *Policy) applyLastReading(ch *chooser, c *candidate, now time.Time) {
 	c.probed = true
@@ -249,9 +253,8 @@
 		return
 	}
 	p.judge(ch, c, Reading{At: now, Healthy: true})
-	r, known := p.readings.at(c.upstream.ID, c.pending, maxWarmAge, now)
-	c.mayBeCold = !known || r.Cold > 0
-	c.excluded = ch.overloaded() || c.mayBeCold && p.sentWhileCold(c.upstream.ID, now)
+	c.mayBeCold = !p.readings.isWarm(c.upstream.ID, now)
+	c.excluded = ch.sawFull || ch.pool.mostlyFull() || c.mayBeCold && p.sentWhileCold(c.upstream.ID, now)
 }
 
 // sentWhileCold reports whether this instance has just sent a request to an upstream that was cold.
@@ -336,7 +339,7 @@
 		p.coldAt[id] = time.Now()
 	}
 	p.pending[id]++
-	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: r.Route.Name, pool: r.Pool.Name, blind: !c.hasReading()}
+	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: r.Route.Name, pool: r.Pool.Name, blind: !c.hasReading(), at: time.Now(), warmTime: time.Duration(maxWarmTimeShare * float64(r.Route.Target))}
 }
 
 // Outcome is how an attempt ended, as far as it concerns the upstream.
@@ -360,8 +363,8 @@
 			delete(p.pending, c.Upstream.ID)
 		}
 		p.mu.Unlock()
-		if c.blind && e != Unknown {
-			p.poolPressure(c.pool).record(e != Succeeded)
+		if c.blind && e == Shed {
+			p.poolPressure(c.pool).observe(true)
 		}
 		switch e {
 		case Failed:
@@ -371,6 +374,9 @@
 		case Succeeded:
 			p.sizes.record(c.route, size)
 			p.suspects.recordSuccess(c.Upstream.ID, time.Now())
+			if time.Since(c.at) < c.warmTime {
+				p.readings.recordWarm(c.Upstream.ID, time.Now())
+			}
 		}
 	})
 }
--- a/pkg/placement/sampled/probebudget.go
+++ b/pkg/placement/sampled/probebudget.go
@@ -1,43 +1,41 @@
 package sampled
 
 import (
-	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
 )
 
 const (
-	// probeBudgetShare is the part of the limit that instances use. The rights of thirty seconds and those left over from
-	// probeRightTTL before them stay below the limit together.
-	probeBudgetShare = 0.9
-	// probeRightTTL is how long the right to a probe lasts. It covers the seconds of a burst, in which a request
-	// finds most upstreams full and probes many.
-	probeRightTTL = 3 * time.Second
+	// probeBudgetShare is the part of the limit that instances use.
+	probeBudgetShare = 0.95
+	// maxAccumulation is the time for which unused rights accumulate. The limit is one on the average of a day, and in
+	// a burst a request finds most upstreams full and probes many.
+	maxAccumulation = time.Minute
+	// initialAccumulation is the time for which an instance that starts holds rights.
+	initialAccumulation = 2 * time.Second
+	// minAccumulated is the number of probes that may accumulate at least: those of one sample.
+	minAccumulated = sampleSize
 	// maxBudgetPools bounds the number of pools with a budget. Pools come from the tables; those that were removed are
 	// forgotten when there are too many.
 	maxBudgetPools = 4096
 )
 
-// ProbeBudget limits the probes that all instances together send to the upstreams of a pool. Each instance gets an
-// equal part, which follows from the number of instances and needs no messages. An instance gets the
-// right to one probe after another at a steady rate, at times of its own, and a right that is not used expires. So
-// the limit holds in any thirty seconds for any number of instances, also where the part of an instance is less
-// than one probe a second, and instances that restart get nothing in advance.
+// ProbeBudget limits the probes that all instances together send to the upstreams of a pool. Each instance gets the
+// right to an equal part of them, which follows from the number of instances and needs no messages. So the
+// average since the start stays below the limit for any number of instances.
 type ProbeBudget struct {
 	instances func() int
 
 	mu          sync.Mutex
-	perUpstream float64
+	perUpstream float64 // limit for one upstream, per second
 	pools       map[string]*probeRights
 }
 
-// probeRights are the rights of one pool.
+// probeRights are the probes that an instance may send to a pool.
 type probeRights struct {
 	updated time.Time
 	rate    float64 // rights per second
-	issued  float64 // rights issued until updated, with the fraction of the next one
-	used    float64 // number of the last right that was used or has expired
+	left    float64
 }
 
 // NewProbeBudget returns a budget of perSecond probes of each upstream, shared by the given number of instances.
@@ -52,7 +50,7 @@
 	b.perUpstream = perSecond
 }
 
-// take uses up to want rights to probe upstreams of a pool and returns their number.
+// take uses the rights for up to want probes of a pool and returns their number.
 func (b *ProbeBudget) take(pool string, upstreams, want int, now time.Time) int {
 	if b == nil {
 		return want
@@ -61,18 +59,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.pools[pool]
-	if r == nil {
+	starts := r == nil
+	if starts {
 		if len(b.pools) >= maxBudgetPools {
 			clear(b.pools)
 		}
-		r = &probeRights{updated: now, issued: rand.Float64()}
+		r = &probeRights{updated: now}
 		b.pools[pool] = r
 	}
-	r.issued += r.rate * now.Sub(r.updated).Seconds()
+	r.left += r.rate * now.Sub(r.updated).Seconds()
 	r.updated = now
 	r.rate = probeBudgetShare * b.perUpstream * float64(upstreams) / float64(instances)
-	r.used = max(r.used, math.Floor(r.issued-r.rate*probeRightTTL.Seconds()))
-	granted := min(want, int(math.Floor(r.issued)-r.used))
-	r.used += float64(granted)
+	if starts {
+		r.left = max(r.rate*initialAccumulation.Seconds(), 1)
+	}
+	r.left = min(r.left, max(r.rate*maxAccumulation.Seconds(), minAccumulated))
+	granted := max(min(want, int(r.left)), 0)
+	r.left -= float64(granted)
 	return granted
 }
--- a/pkg/placement/sampled/readings.go
+++ b/pkg/placement/sampled/readings.go
@@ -14,8 +14,11 @@
 	// maxReadingAge is the age up to which a reading is used in place of a probe that the budget does not allow.
 	// Older ones say nothing about the load.
 	maxReadingAge = 250 * time.Millisecond
-	// maxWarmAge is how long an upstream counts as warm after a reading that said so.
+	// maxWarmAge is how long an upstream counts as warm after a reading or a response that showed it.
 	maxWarmAge = 5 * time.Second
+	// maxWarmTimeShare is the share of the target within which a response shows that its upstream is warm; the same
+	// request takes coldFactor times as long on a cold one.
+	maxWarmTimeShare = 1.5 * workShare
 	// maxReadings bounds the number of readings: upstreams that leave a pool are not
 	// probed again, so nothing else removes them.
 	maxReadings = 4096
@@ -30,6 +33,7 @@
 type lastReading struct {
 	Reading
 	pending int
+	warmAt  time.Time // when a response or a reading showed that the upstream was warm
 }
 
 func newLastReadings() *lastReadings { return &lastReadings{list: map[string]lastReading{}} }
@@ -44,7 +48,29 @@
 			return
 		}
 	}
-	l.list[id] = lastReading{r, pending}
+	last := lastReading{Reading: r, pending: pending}
+	if r.Cold == 0 {
+		last.warmAt = r.At
+	}
+	l.list[id] = last
+}
+
+// recordWarm stores that a response of an upstream showed that it is warm.
+func (l *lastReadings) recordWarm(id string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if last, known := l.list[id]; known || len(l.list) < maxReadings {
+		last.warmAt = now
+		l.list[id] = last
+	}
+}
+
+// isWarm reports whether the upstream was warm within maxWarmAge and has not been seen cold since.
+func (l *lastReadings) isWarm(id string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	last, known := l.list[id]
+	return known && now.Sub(last.warmAt) <= maxWarmAge
 }
 
 // at returns the last reading of an upstream if it is at most as old as the limit. The requests that this
