follow: start from a stale list and look for readers instead of watching the store

Cause: calls to the store grew with the number of instances.

Change: the first state comes from a stale list, a tenth of the price, followed from the newest revision in it; what has changed since comes from a reader. A reader tests a failing store every 0.3 s, renews every 0.4 s and takes its place back at once, so that it is there when the others look.

--- a/internal/follow/fleet.go
+++ b/internal/follow/fleet.go
@@ -26,7 +26,7 @@
 	shrinkDelay = 15 * time.Second
 	// growthMargin is the part by which the recorded number exceeds the count, so that instances that join
 	// one after the other cost few writes and are covered before they are counted.
-	growthMargin = 1.0 / 16
+	growthMargin = 1.0 / 8
 	// shrinkShare is the share of the recorded number below which the count is low.
 	shrinkShare = 0.6
 	// maxCounted bounds the instances that are counted.
--- a/internal/follow/fleet_test.go
+++ b/internal/follow/fleet_test.go
@@ -100,3 +100,66 @@
 		is.True(err != nil)
 	}
 }
+
+// price returns the price of all calls to the store so far, in current reads: a stale one costs a tenth.
+func (l *fakeLog) price() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.calls) + float64(l.staleCalls)/10
+}
+
+// Guards against calls to the store that grow with the number of instances when all start at once, when they join while
+// readers are there, and while the store fails.
+func TestStoreCallsOfManyInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const size, readers = 100, 2
+		spent, since := 0.0, time.Now()
+		// allowed returns whether the price of the calls since the last time is that of the readers and a tenth
+		// of a call for each of the others a given number of times.
+		allowed := func(fl *fleet, stale int) bool {
+			t.Helper()
+			seconds := time.Since(since).Seconds()
+			price := fl.store.price() - spent
+			spent, since = fl.store.price(), time.Now()
+			t.Logf("%.1f s: price %.1f", seconds, price)
+			return price <= 3*readers*(seconds+2)+float64(stale*size)/10
+		}
+		fl := newFleet(t, size)
+		is.True(allowed(fl, 7)) // a list and several searches for a reader
+
+		for i := range size {
+			fl.start(t, size+i, "a")
+		}
+		time.Sleep(4 * time.Second)
+		is.True(allowed(fl, 2))
+
+		fl.store.set(func() { fl.store.down = true })
+		time.Sleep(8 * time.Second)
+		fl.store.set(func() { fl.store.down = false })
+		time.Sleep(4 * time.Second)
+		is.True(allowed(fl, 2*19)) // of both halves; the target for a day is 900 for 471 instances, 1.9 each
+		is.True(fl.changeReachesAll(2*time.Second, -1))
+	})
+}
+
+// Guards against an instance that stays with the state of a stale list, with and without a reader to ask.
+func TestStaleListIsCaughtUp(t *testing.T) {
+	for _, size := range []int{1, 12} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				fl := newFleet(t, size)
+				fl.store.set(func() { fl.store.staleBy = 3 })
+				fl.store.put("u3", "up p ready")
+				fl.store.remove("u1")
+				fl.store.put("config", "config xx")
+				fl.start(t, size, "a")
+				time.Sleep(4 * time.Second)
+				f := fl.followers[size]
+				is.Equal(inService(f), []string{"u2", "u3"})
+				is.Equal(f.Snapshot().Tables.Revision, uint64(2))
+			})
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -42,9 +42,6 @@
 	// failedCallGap replaces outageGap when a call failed in that time: an outage of this length can cover two
 	// consecutive heartbeats.
 	failedCallGap = 2 * time.Second
-	// initialListPause is the pause after the first list while no reader is known. All instances of a
-	// deployment may start at once, and the first readers are registered within this time.
-	initialListPause = 1200 * time.Millisecond
 	// fallbackTimeout bounds a call to a reader after another reader failed; a round trip between regions takes
 	// 24 ms.
 	fallbackTimeout = 150 * time.Millisecond
@@ -55,7 +52,7 @@
 	// failedReaderCooldown is how long a reader is not called after it failed.
 	failedReaderCooldown = 3 * time.Second
 	// storeRetryMin is the mean time between the starts of a first failed call to the store and of the next one.
-	// The time doubles with each failure; each interval is jittered by half of its value.
+	// The time doubles with each failure, but not for readers; each interval is jittered by half of its value.
 	storeRetryMin = 300 * time.Millisecond
 	// storeRetryMax bounds the mean time between the starts of failed calls to the store.
 	storeRetryMax = 1200 * time.Millisecond
@@ -190,7 +187,9 @@
 			backoff, nextCall = storeRetryMin, time.Time{}
 			continue
 		}
-		backoff = min(2*backoff, storeRetryMax)
+		if !f.isReader.Load() { // others wait for a reader, so it must find the store first
+			backoff = min(2*backoff, storeRetryMax)
+		}
 		if !f.listed {
 			f.syncFromSeeds(ctx)
 		}
@@ -301,8 +300,21 @@
 
 // syncFromStore calls the store once and reports whether it answered.
 func (f *Follower) syncFromStore(ctx context.Context) bool {
+	if f.revision == 0 {
+		return f.startFromStale(ctx)
+	}
+	failedBefore := f.storeFailing
+	if f.listed && f.origin != storeOrigin && !f.isReader.Load() {
+		searchTime := time.Duration(0)
+		if failedBefore {
+			searchTime = returnSearchTime
+		}
+		if done, answered := f.searchReader(ctx, searchTime); done || !answered {
+			return done
+		}
+	}
 	u := update{full: !f.listed}
-	failedBefore, requestedAt := f.storeFailing, time.Now()
+	requestedAt := time.Now()
 	var err error
 	var next uint64
 	if u.full {
@@ -319,17 +331,10 @@
 		f.storeDown.Store(false)
 		return true
 	case err != nil:
-		if !f.storeFailing {
-			f.log.Info("store lost", "error", err.Error())
-		}
-		f.storeFailing = true
-		f.storeDown.Store(true)
-		f.isolated = true
+		f.recordStoreFailure(err)
 		return false
-	case f.storeFailing:
-		f.log.Info("store regained", "revision", next)
-		f.storeFailing = false
 	}
+	f.recordStoreAnswer()
 	f.isolated = false
 	f.storeDown.Store(false)
 	f.fromStore.Store(true)
@@ -341,7 +346,6 @@
 	}
 	gap := f.replica.sinceConfirmed(confirmed)
 	u.afterOutage = gap > outageGap || failedBefore && gap > failedCallGap
-	firstList := f.revision == 0
 	if u.full {
 		f.replica.reset(u.entries, next, confirmed)
 	} else {
@@ -351,15 +355,29 @@
 	f.recordOrigin(storeOrigin, 0)
 	if len(u.changes) > 0 || u.full || u.afterOutage {
 		f.submit(ctx, u)
-		if firstList && !f.hasReaders() {
-			pause.For(ctx, initialListPause)
-		} else {
-			pause.For(ctx, batchPause)
-		}
+		pause.For(ctx, batchPause)
 	}
 	return true
 }
 
+// recordStoreFailure records that a call to the store failed.
+func (f *Follower) recordStoreFailure(err error) {
+	if !f.storeFailing {
+		f.log.Info("store lost", "error", err.Error())
+	}
+	f.storeFailing = true
+	f.storeDown.Store(true)
+	f.isolated = true
+}
+
+// recordStoreAnswer records that the store answered.
+func (f *Follower) recordStoreAnswer() {
+	if f.storeFailing {
+		f.log.Info("store regained", "revision", f.revision)
+	}
+	f.storeFailing = false
+}
+
 // storeOrigin is the origin of data that came from the store itself.
 const storeOrigin = "store"
 
@@ -383,11 +401,6 @@
 	return f.source.Changes(ctx, "", f.revision, wait)
 }
 
-func (f *Follower) hasReaders() bool {
-	known := f.readers.Load()
-	return known != nil && len(*known) > 0
-}
-
 // submit passes an update to stateLoop, which owns the state.
 func (f *Follower) submit(ctx context.Context, u update) {
 	if !u.full && !u.afterOutage && len(u.changes) == 0 {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +49,8 @@
 	dropWakeups bool // changes do not wake waiting watches
 	woken       chan struct{}
 	calls       int
+	staleCalls  int
+	staleBy     uint64 // how many revisions stale lists are behind
 	leases      []*fakeLease
 }
 
@@ -101,6 +105,26 @@
 	return out, l.rev, nil
 }
 
+func (l *fakeLog) ListStale(_ context.Context, prefix string) ([]store.Entry, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.staleCalls++
+	if l.down {
+		return nil, fault.New(fault.Unavailable, "down", "wait")
+	}
+	state := map[string]store.Entry{}
+	for _, c := range l.events {
+		switch {
+		case c.Revision+l.staleBy > l.rev || !strings.HasPrefix(c.Key, prefix):
+		case c.Deleted:
+			delete(state, c.Key)
+		default:
+			state[c.Key] = c.Entry
+		}
+	}
+	return slices.Collect(maps.Values(state)), nil
+}
+
 func (l *fakeLog) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -31,6 +31,9 @@
 	readerLeaseTTL = 5 * time.Second
 	// readerLeaseRenewal is the time between renewals, each of which costs a tenth of a call.
 	readerLeaseRenewal = 1500 * time.Millisecond
+	// failedRenewalPause is the time between renewals while the store does not answer them. The reader is then
+	// back before the instances that follow it look for the store.
+	failedRenewalPause = 400 * time.Millisecond
 	// claimJitter spreads the claims of instances that see a free key, so that the others see the first
 	// claim before they make their own.
 	claimJitter = 1500 * time.Millisecond
@@ -81,14 +84,17 @@
 func (f *Follower) maintainReaderLease(ctx context.Context) error {
 	var held readerLease
 	for ctx.Err() == nil {
+		next := readerLeaseRenewal
 		if held.lease == "" {
 			held = f.acquireReaderLease(ctx)
-		} else if f.renewReaderLease(ctx, held) {
-			f.recordInstances(ctx, held.since)
+		} else if err := f.renewReaderLease(ctx, held); fault.Is(err, fault.NotFound) {
+			held = f.createReaderLease(ctx, held.key) // it expired while the store failed; another instance may have taken it
+		} else if err != nil {
+			next = failedRenewalPause
 		} else {
-			held = readerLease{}
+			f.recordInstances(ctx, held.since)
 		}
-		pause.For(ctx, readerLeaseRenewal)
+		pause.For(ctx, next)
 	}
 	if held.lease != "" {
 		// Releasing the lease frees the key at once; if the call fails, the lease expires.
@@ -114,7 +120,11 @@
 	if n < 0 || ctx.Err() != nil {
 		return readerLease{}
 	}
-	key := readerKey(f.self.Region, n)
+	return f.createReaderLease(ctx, readerKey(f.self.Region, n))
+}
+
+// createReaderLease writes a reader key under a new lease.
+func (f *Follower) createReaderLease(ctx context.Context, key string) readerLease {
 	value, err := json.Marshal(f.self.Reader)
 	if err != nil {
 		f.log.Error(err, "the reader's key cannot be encoded")
@@ -127,24 +137,25 @@
 		f.log.Info("reader place not taken", "key", key, "kind", string(fault.KindOf(err)))
 		return readerLease{}
 	}
+	f.storeDown.Store(false)
 	f.log.Info("reader place taken", "key", key)
 	return readerLease{key, lease, time.Now()}
 }
 
-// renewReaderLease renews a lease and reports whether it is still held.
-func (f *Follower) renewReaderLease(ctx context.Context, held readerLease) bool {
+// renewReaderLease renews a lease. A NotFound fault means that it has expired.
+func (f *Follower) renewReaderLease(ctx context.Context, held readerLease) error {
 	err := f.ephemeral.Renew(ctx, held.lease)
 	if fault.Is(err, fault.NotFound) {
 		f.isReader.Store(false)
 		f.log.Info("reader place lost", "key", held.key)
-		return false
+		return err
 	}
 	if err != nil {
 		f.log.V(1).Info("reader place not renewed", "key", held.key, "error", err.Error())
-		return true
+		return err
 	}
 	f.storeDown.Store(false) // the store answers again, so this instance resumes reading it
-	return true
+	return nil
 }
 
 // freeReaderIndex returns the number of a free reader key in the own region, or -1 if none is free or
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -60,6 +60,15 @@
 	return c.fakeLog.List(ctx, prefix)
 }
 
+func (c *storeConnection) ListStale(ctx context.Context, prefix string) ([]store.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	if err := c.connectionError(ctx); err != nil {
+		return nil, err
+	}
+	return c.fakeLog.ListStale(ctx, prefix)
+}
+
 func (c *storeConnection) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
 	defer cancel()
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -191,6 +191,9 @@
 	// List returns the entries under prefix and a revision. The entries may lack changes after that revision,
 	// which Changes returns, and an entry may be newer than it.
 	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// ListStale returns the entries under prefix as they were at some time within the last seconds. It costs a tenth
+	// of List.
+	ListStale(ctx context.Context, prefix string) ([]Entry, error)
 	// Changes waits up to wait for a change under prefix after the given revision. It returns the changes and
 	// the revision from which to continue. A NotFound fault means that the store no longer has the history
 	// after that revision, so that the entries must be listed again.
