--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -201,7 +201,7 @@
 }
 
 // Guards against hedges that use the last extra attempt, which the retry of a failed
-// request needs, and against an initial grant above the burst.
+// request needs, and against more attempts than the burst.
 func TestSpareAttemptsLeaveOne(t *testing.T) {
 	is := is.New(t)
 	b := NewBudget(20, 3)
