follow: a stale answer of a reader does not replace a missing list

Cause: an instance that lost the store's history asks the readers before it lists. The answer of a reader with stale data marked the list as present, so the next call was a watch again, which reported the lost history again. With two regions the pause of failed readers ended this; since readers are looked for by stale lists, which clears that pause, an instance of three regions went round until a reader was fresh.

Change: only an answer with fresh data counts as a list.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -256,7 +256,7 @@
 	} else {
 		f.replica.apply(r.changes, r.revision, confirmed)
 	}
-	f.revision, f.listed = max(f.revision, r.revision), true
+	f.revision = max(f.revision, r.revision)
 	f.submit(ctx, update{full: historyLost, afterOutage: afterOutage, entries: r.entries, changes: r.changes})
 	if r.age <= maxFreshAge || historyLost || len(r.changes) > 0 {
 		f.lastReader.Store(&reader)
@@ -264,6 +264,7 @@
 	if r.age > maxFreshAge {
 		return fault.New(fault.Unavailable, "the reader's data is stale, with an age of "+r.age.String(), "ask another one, or the store")
 	}
+	f.listed = true
 	f.fromStore.Store(false)
 	f.recordOrigin(string(reader.ID), r.age)
 	return nil
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -160,8 +160,9 @@
 	return nil
 }
 
-// fleet is a set of followers in two regions.
+// fleet is a set of followers in two or more regions.
 type fleet struct {
+	regions     []string
 	store       *fakeLog
 	net         *peertest.Network
 	followers   []*Follower
@@ -170,8 +171,11 @@
 	stops       []context.CancelFunc
 }
 
-func newFleet(t *testing.T, size int) *fleet {
-	fl := &fleet{store: newFakeLog(), net: peertest.New(1)}
+func newFleet(t *testing.T, size int) *fleet { return newFleetIn(t, size, "north", "south") }
+
+// newFleetIn starts a fleet that is spread evenly over the regions.
+func newFleetIn(t *testing.T, size int, regions ...string) *fleet {
+	fl := &fleet{regions: regions, store: newFakeLog(), net: peertest.New(1)}
 	fl.store.put("config", "config x")
 	fl.store.put("u1", "up p ready")
 	fl.store.put("u2", "up p ready")
@@ -193,8 +197,8 @@
 	id := peer.InstanceID(fmt.Sprintf("e%d/%s", i, incarnation))
 	node := fl.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i))
 	connection := &storeConnection{fakeLog: fl.store}
-	self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: []string{"north", "south"}[i%2]}}
-	f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: node, Self: self, Writer: connection, Regions: 2}, logr.Discard())
+	self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: fl.regions[i%len(fl.regions)]}}
+	f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: node, Self: self, Writer: connection, Regions: len(fl.regions)}, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = f.Run(ctx); close(done) }()
@@ -504,3 +508,25 @@
 	is.True(ok)
 	is.Equal(r, last)
 }
+
+// Guards against an instance that lost the history and never lists the store, because a reader whose data is stale
+// still answers it: the answer must not count as the missing list.
+func TestStaleReaderIsNoSubstituteForAList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleetIn(t, 12, "north", "south", "east")
+		readers := fl.readers()
+		is.Equal(len(readers), 3)
+		for _, r := range readers {
+			fl.connections[r].unresponsive.Store(true)
+		}
+		fl.store.put("config", "config xx")
+		fl.store.set(func() { fl.store.oldest = fl.store.rev })
+		time.Sleep(3500 * time.Millisecond)
+		for i, f := range fl.followers {
+			if !slices.Contains(readers, i) {
+				is.Equal(f.Snapshot().Tables.Revision, uint64(2))
+			}
+		}
+	})
+}
