follow: log which calls an instance lost before it had fresh data again

The lines of an instance did not tell why it learned of a change late: a failed call to a reader was logged without its duration, and one to the store only if the call before had succeeded.

"state was stale" now names the failed calls since the last fresh answer with their durations, and a histogram holds the time between confirmations by the store. Nothing is decided by either.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -113,6 +113,7 @@
 	storeFailing bool   // the last call to the store failed
 	isolated     bool   // the last call to the store failed, and no reader has answered since
 	origin       string // where the latest fresh answer came from
+	lookup       lookup // the calls since the latest fresh answer
 	avoidUntil   map[peer.InstanceID]time.Time
 }
 
@@ -223,11 +224,13 @@
 		if !ok {
 			return false
 		}
+		start := time.Now()
 		err := f.syncFromReader(ctx, reader, wait, limit)
 		if err == nil {
 			f.isolated = false
 			return true
 		}
+		f.lookup.add(string(reader.ID), start, err)
 		wait, limit = 0, fallbackTimeout
 		f.avoidUntil[reader.ID] = time.Now().Add(failedReaderCooldown)
 		if ctx.Err() == nil && !f.isolated {
@@ -250,7 +253,8 @@
 		return err
 	}
 	confirmed := time.Now().Add(-r.age)
-	afterOutage := f.replica.sinceConfirmed(confirmed) > outageGap
+	gap := f.replica.sinceConfirmed(confirmed)
+	afterOutage := gap > outageGap
 	if historyLost {
 		f.replica.reset(r.entries, r.revision, confirmed)
 	} else {
@@ -266,6 +270,7 @@
 	}
 	f.listed = true
 	f.fromStore.Store(false)
+	f.recordLookup(gap)
 	f.recordOrigin(string(reader.ID), r.age)
 	return nil
 }
@@ -332,6 +337,7 @@
 		f.storeDown.Store(false)
 		return true
 	case err != nil:
+		f.lookup.add(storeOrigin, requestedAt, err)
 		f.recordStoreFailure(err)
 		return false
 	}
@@ -353,6 +359,7 @@
 		f.replica.apply(u.changes, max(next, f.revision), confirmed)
 	}
 	f.revision, f.listed = max(next, f.revision), true
+	f.recordLookup(gap)
 	f.recordOrigin(storeOrigin, 0)
 	if len(u.changes) > 0 || u.full || u.afterOutage {
 		f.submit(ctx, u)
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -78,8 +78,10 @@
 func (f *Follower) syncFromListedReaders(ctx context.Context) (done, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeoutMargin)
 	defer cancel()
+	start := time.Now()
 	entries, err := f.source.ListStale(ctx, readersPrefix)
 	if err != nil {
+		f.lookup.add(readersPrefix, start, err)
 		f.recordStoreFailure(err)
 		return false, false
 	}
