follow: bound all that precedes a call to the store by the age of the data

Cause: an instance that loses its reader goes through steps that each have a time limit of their own: the call to the reader (0.8 s), another reader (0.15 s), a list of the readers' keys, after which the same reader was asked again with the full wait (0.8 s), and a search of 0.6 s after an outage. The data may be 1.6 s old when the first step begins. Nothing bounded the sum, which reached 3.5 s when several readers ended within a few seconds, as in a rolling restart.

Change: there is one deadline, the time at which the data is 1.6 s old, or 2.6 s after the start of a failed call to the store. Calls to readers and searches are cut to it, and then the store itself is asked. A search asks readers for what they know without waiting, three of them instead of two.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -45,8 +45,14 @@
 	// fallbackTimeout bounds a call to a reader after another reader failed; a round trip between regions takes
 	// 24 ms.
 	fallbackTimeout = 150 * time.Millisecond
+	// minReaderTimeout is the shortest useful time limit of a call to a reader: a round trip between regions.
+	minReaderTimeout = 30 * time.Millisecond
 	// maxReaderAttempts bounds the readers that are tried in a row before the store is.
-	maxReaderAttempts = 2
+	maxReaderAttempts = 3
+	// returnSearchLimit is how long after the start of a failed call to the store readers may be searched in its
+	// place. An instance whose store has been back for 3 s must know of changes; the rest is for the last call to a
+	// reader and for the store.
+	returnSearchLimit = 2600 * time.Millisecond
 	// seedTimeout bounds the connection to a seed and its answer, which holds the whole state.
 	seedTimeout = 1300 * time.Millisecond
 	// failedReaderCooldown is how long a reader is not called after it failed.
@@ -115,6 +121,7 @@
 	origin       string // where the latest fresh answer came from
 	lookup       lookup // the calls since the latest fresh answer
 	avoidUntil   map[peer.InstanceID]time.Time
+	searchUntil  time.Time // readers may be asked in place of the store until then, however old the data is
 }
 
 // update is one answer of the store or of a reader.
@@ -176,7 +183,7 @@
 	backoff := storeRetryMin
 	var nextCall time.Time
 	for ctx.Err() == nil {
-		if f.syncFromReaders(ctx) {
+		if f.syncFromReaders(ctx, f.isolated) {
 			continue
 		}
 		if left := time.Until(nextCall); left > 0 {
@@ -208,18 +215,33 @@
 	return f.actsAsReader() || f.fromStore.Load() && !f.storeDown.Load()
 }
 
-// syncFromReaders fetches changes from a reader. When that reader fails, it asks other readers for
+// storeDeadline returns the time until which readers may be asked in place of the store. The calls to readers,
+// searches and pauses before a call to the store all end by it, the last of them fallbackTimeout later at most, so
+// their number does not add to the age of the data.
+func (f *Follower) storeDeadline() time.Time {
+	deadline := f.replica.confirmedAt().Add(maxFreshAge)
+	if f.searchUntil.After(deadline) {
+		return f.searchUntil
+	}
+	return deadline
+}
+
+// syncFromReaders fetches changes from a reader. When that reader fails, or in a search, it asks readers for
 // what they already know, without waiting. It reports false when the store must be asked instead.
-func (f *Follower) syncFromReaders(ctx context.Context) bool {
-	wait, limit := readerWait, readerWait+readerWaitMargin
+func (f *Follower) syncFromReaders(ctx context.Context, search bool) bool {
 	if f.isolated {
-		wait, limit = 0, fallbackTimeout
 		clear(f.avoidUntil)
 	}
+	deadline := f.storeDeadline()
 	for range maxReaderAttempts {
-		if f.actsAsReader() || f.revision == 0 || ctx.Err() != nil {
+		left := time.Until(deadline)
+		if f.actsAsReader() || f.revision == 0 || ctx.Err() != nil || left < minReaderTimeout-fallbackTimeout {
 			return false
 		}
+		wait, limit := min(readerWait, max(left, 0)), min(readerWait+readerWaitMargin, left+fallbackTimeout)
+		if search {
+			wait, limit = 0, min(fallbackTimeout, left+fallbackTimeout)
+		}
 		reader, ok := f.selectReader(time.Now())
 		if !ok {
 			return false
@@ -231,7 +253,7 @@
 			return true
 		}
 		f.lookup.add(string(reader.ID), start, err)
-		wait, limit = 0, fallbackTimeout
+		search = true
 		f.avoidUntil[reader.ID] = time.Now().Add(failedReaderCooldown)
 		if ctx.Err() == nil && !f.isolated {
 			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
@@ -310,7 +332,7 @@
 		return f.startFromStale(ctx)
 	}
 	failedBefore := f.storeFailing
-	if f.listed && f.origin != storeOrigin && !f.isReader.Load() {
+	if f.listed && f.origin != storeOrigin && !f.isReader.Load() && time.Now().Before(f.storeDeadline()) {
 		searchTime := time.Duration(0)
 		if failedBefore {
 			searchTime = returnSearchTime
@@ -337,8 +359,7 @@
 		f.storeDown.Store(false)
 		return true
 	case err != nil:
-		f.lookup.add(storeOrigin, requestedAt, err)
-		f.recordStoreFailure(err)
+		f.recordStoreFailure(storeOrigin, requestedAt, err)
 		return false
 	}
 	f.recordStoreAnswer()
@@ -368,8 +389,10 @@
 	return true
 }
 
-// recordStoreFailure records that a call to the store failed.
-func (f *Follower) recordStoreFailure(err error) {
+// recordStoreFailure records that a call to the store failed: what was asked for, and when.
+func (f *Follower) recordStoreFailure(asked string, start time.Time, err error) {
+	f.lookup.add(asked, start, err)
+	f.searchUntil = start.Add(returnSearchLimit)
 	if !f.storeFailing {
 		f.log.Info("store lost", "error", err.Error())
 	}
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -29,12 +29,14 @@
 // startFromStale takes the first state from a stale list, and what has changed since from a reader. It reports whether
 // the store answered. Without a reader the caller watches the store from the newest revision in the list.
 func (f *Follower) startFromStale(ctx context.Context) bool {
+	start := time.Now()
+	f.searchUntil = start.Add(discoveryTime)
 	entries, err := f.source.ListStale(ctx, "")
 	switch {
 	case ctx.Err() != nil:
 		return false
 	case err != nil:
-		f.recordStoreFailure(err)
+		f.recordStoreFailure("stale list", start, err)
 		return false
 	}
 	revision := newestRevision(entries)
@@ -42,7 +44,7 @@
 		// Nothing is known of the store's revision, so that changes cannot be followed from it.
 		entries, revision, err = f.source.List(ctx, "")
 		if err != nil {
-			f.recordStoreFailure(err)
+			f.recordStoreFailure("list", start, err)
 			return false
 		}
 	}
@@ -51,7 +53,7 @@
 	f.revision, f.listed = revision, true
 	f.submit(ctx, update{full: true, entries: entries})
 	f.adoptReaders(entries)
-	if f.peers == nil || f.syncFromReaders(ctx) {
+	if f.peers == nil || f.syncFromReaders(ctx, true) {
 		return true
 	}
 	pause.For(ctx, jitter(searchInterval))
@@ -62,7 +64,11 @@
 // searchReader lists the readers' keys until a reader has fresh data or the limit has passed, once at least. done is
 // set if one had, answered if the store answered.
 func (f *Follower) searchReader(ctx context.Context, limit time.Duration) (done, answered bool) {
-	for end := time.Now().Add(limit); ; {
+	end := time.Now().Add(limit)
+	if deadline := f.storeDeadline(); deadline.Before(end) {
+		end = deadline
+	}
+	for {
 		if done, answered = f.syncFromListedReaders(ctx); done || !answered || f.isReader.Load() || ctx.Err() != nil {
 			return done, answered
 		}
@@ -81,14 +87,13 @@
 	start := time.Now()
 	entries, err := f.source.ListStale(ctx, readersPrefix)
 	if err != nil {
-		f.lookup.add(readersPrefix, start, err)
-		f.recordStoreFailure(err)
+		f.recordStoreFailure(readersPrefix, start, err)
 		return false, false
 	}
 	f.recordStoreAnswer()
 	f.adoptReaders(entries)
 	clear(f.avoidUntil)
-	return f.syncFromReaders(ctx), true
+	return f.syncFromReaders(ctx, true), true
 }
 
 // adoptReaders replaces the known readers by those in a list. The state that is published later has the same
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -89,6 +89,13 @@
 	return confirmed.Sub(r.confirmed)
 }
 
+// confirmedAt returns when the store last confirmed the revision, or zero before the first time.
+func (r *replica) confirmedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.confirmed
+}
+
 // age returns the seconds since the store last confirmed the revision, or -1 before the first time.
 func (r *replica) age() float64 {
 	r.mu.Lock()
