Keep the request limits that upstreams state, over all instances together

Cause: nothing read the limit. The class: a limit of all instances that each would have to keep on its own; shares by the number of instances, as for retries and probes, do not hold for numbers of about one a second, since all shares may be used at once.

Change: package intake. An instance that has heard a limit needs a grant for each request to that upstream from the reader of the upstream's region, which has the only bucket for it. An upstream that cannot be granted is no candidate; its requests go to others.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -250,10 +250,24 @@
 			return
 		}
 		a.observe(Result{Status: a.resp.StatusCode, FirstByte: a.firstByte})
+		a.observeIntake()
 		a.classifyStatus()
 	}
 }
 
+// observeIntake reports what the response states about the requests that the upstream takes. A response of status
+// 421 may come from another upstream, and a failure without a limit does not end one.
+func (a *attempt) observeIntake() {
+	x := a.x
+	if a.permit == nil || x.e.ports.Intake == nil || x.e.proto.RequestLimit == nil || a.resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	perSecond, limited := x.e.proto.RequestLimit(a.resp.Header)
+	if limited || a.resp.StatusCode >= 200 && a.resp.StatusCode < 300 {
+		x.e.ports.Intake.Stated(a.upstream, perSecond, limited)
+	}
+}
+
 // buffer reads the start of the response to an idempotent request, if the protocol asks for it, so
 // that the request can still be retried if the upstream breaks off early.
 func (a *attempt) buffer() {
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -21,6 +21,8 @@
 	Hedger     Hedger
 	Relay      Relay
 	Observers  []Observer
+	// Intake learns the request limits of upstreams; nil if nothing keeps them.
+	Intake IntakeObserver
 	// Protocol names the headers; the default is turmericsail's own.
 	Protocol *Protocol
 	// RoutineVerbosity is the log verbosity of successful requests.
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -99,6 +99,12 @@
 	Observe(o *Observation)
 }
 
+// IntakeObserver learns how many requests an upstream takes from all instances together. It must not block.
+type IntakeObserver interface {
+	// Stated is called for a response that names a limit, and for a successful one that names none.
+	Stated(u table.Upstream, perSecond float64, limited bool)
+}
+
 // ClaimRequest identifies a non-idempotent request.
 type ClaimRequest struct {
 	Route    *table.Route
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -30,6 +30,9 @@
 	EchoesRequestID bool
 	// NotRun reports whether a response states that the upstream did not run the request.
 	NotRun func(*http.Response) bool
+	// RequestLimit returns the number of requests per second that an upstream takes from all instances together,
+	// and false if the response names none.
+	RequestLimit func(http.Header) (float64, bool)
 	// BufferResponse is the number of bytes of the response to an idempotent request that are read before any
 	// of it is sent to the caller, so that the request can be retried if the upstream breaks off. With zero,
 	// nothing is buffered.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -106,10 +106,11 @@
 	counter    *instanceCounter
 	fleet      atomic.Pointer[map[string]int] // recorded numbers of instances by region
 	readers    atomic.Pointer[map[string]Reader]
-	lastReader atomic.Pointer[Reader] // the latest reader that was fresh or had new changes
-	isReader   atomic.Bool            // this instance holds a reader lease
-	storeDown  atomic.Bool            // the last call to the store failed, and no renewal of the reader lease has succeeded since
-	fromStore  atomic.Bool            // the latest data came from the store itself
+	lastReader atomic.Pointer[Reader]    // the latest reader that was fresh or had new changes
+	isReader   atomic.Bool               // this instance holds a reader lease
+	grantsFrom atomic.Pointer[time.Time] // when this instance may act for its region
+	storeDown  atomic.Bool               // the last call to the store failed, and no renewal of the reader lease has succeeded since
+	fromStore  atomic.Bool               // the latest data came from the store itself
 	current    atomic.Pointer[control.Snapshot]
 	updates    chan update
 
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -85,6 +85,32 @@
 	since time.Time
 }
 
+// maxGrantAge is the age of the data up to which a reader acts for its region. It is well below readerLeaseTTL, the
+// time for which a new reader waits, so that two never act at once, even if the store took the key away
+// and still renews the lease.
+const maxGrantAge = 2 * time.Second
+
+// MayGrant reports whether this instance alone acts for its region at the given time: it took the key long enough
+// ago, and data of the store that is not older than maxGrantAge still names it.
+func (f *Follower) MayGrant(now time.Time) bool {
+	from := f.grantsFrom.Load()
+	if from == nil || now.Before(*from) || now.Sub(f.replica.confirmedAt()) > maxGrantAge {
+		return false
+	}
+	holder, ok := f.Granter(f.self.Region)
+	return ok && holder == f.self.ID
+}
+
+// Granter returns the reader of a region, which is the instance that acts for it.
+func (f *Follower) Granter(region string) (peer.InstanceID, bool) {
+	known := f.readers.Load()
+	if known == nil {
+		return "", false
+	}
+	r, ok := (*known)[readerKey(region, 0)]
+	return r.ID, ok
+}
+
 // maintainReaderLease acquires and renews a reader lease in the own region until ctx ends.
 func (f *Follower) maintainReaderLease(ctx context.Context) error {
 	var held readerLease
@@ -106,6 +132,7 @@
 	}
 	if held.lease != "" {
 		// Releasing the lease frees the key at once; if the call fails, the lease expires.
+		f.grantsFrom.Store(nil)
 		releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 		defer cancel()
 		err := f.ephemeral.Release(releaseCtx, held.lease)
@@ -150,6 +177,8 @@
 		return readerLease{}
 	}
 	f.storeDown.Store(false)
+	from := time.Now().Add(readerLeaseTTL)
+	f.grantsFrom.Store(&from)
 	f.log.Info("reader place taken", "key", key)
 	return readerLease{key, lease, time.Now()}
 }
@@ -159,6 +188,7 @@
 	err := f.ephemeral.Renew(ctx, held.lease)
 	if fault.Is(err, fault.NotFound) {
 		f.isReader.Store(false)
+		f.grantsFrom.Store(nil)
 		f.log.Info("reader place lost", "key", held.key)
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 const (
 	PeerTransport = "peer.transport"
 	ControlFollow = "control.follow"
+	EntryIntake   = "entry.intake"
 	EntryHTTP     = "entry.http"
 	AdminHTTP     = "admin.http"
 	EntryLeave    = "entry.leave"
@@ -43,6 +44,7 @@
 	}{
 		{PeerTransport, &peerService{cfg: cfg, log: log.WithName(PeerTransport)}},
 		{ControlFollow, &followService{cfg: cfg, log: log.WithName(ControlFollow)}},
+		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
 		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), log: log.WithName(EntryLeave)}},
@@ -100,14 +102,18 @@
 	if err != nil {
 		return err
 	}
+	limits, err := kernel.Lookup[*intakeService](k, EntryIntake)
+	if err != nil {
+		return err
+	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
 	c.budgets = newRetryBudgets(c.bounds, instances)
 	c.probes = sampled.NewProbeBudget(c.bounds.ProbesPerSecond, instances)
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances,
+		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits,
 	}, c.log)
-	adapter.bind(c.cfg, c.Entry, c.probes, c.log)
+	adapter.bind(c.cfg, c.Entry, c.probes, limits, c.log)
 	return nil
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -28,9 +28,10 @@
 	_ sampled.Prober  = (*placementAdapter)(nil)
 )
 
-func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, log logr.Logger) {
+func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, limits sampled.Intake, log logr.Logger) {
 	p.entry = e
 	p.policy = sampled.New(sampled.Location{Instance: cfg.Instance, Region: cfg.Region, FailureDomain: cfg.FailureDomain}, p, probes, log)
+	p.policy.SetIntake(limits)
 }
 
 // Probe implements sampled.Prober.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,11 +9,14 @@
 	"github.com/go-logr/logr"
 
 	"github.com/turmericsail/turmericsail/internal/daemon"
+	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/internal/follow"
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/intake"
 	"github.com/turmericsail/turmericsail/pkg/keepalive"
 	"github.com/turmericsail/turmericsail/pkg/kernel"
 	"github.com/turmericsail/turmericsail/pkg/peer"
+	"github.com/turmericsail/turmericsail/pkg/placement/sampled"
 	"github.com/turmericsail/turmericsail/pkg/table"
 	"github.com/turmericsail/turmericsail/platform"
 )
@@ -100,6 +103,41 @@
 	return nil
 }
 
+// intakeService keeps the request limits that upstreams state.
+type intakeService struct {
+	*intake.Service
+	log logr.Logger
+}
+
+var (
+	_ kernel.Provisioner   = (*intakeService)(nil)
+	_ entry.IntakeObserver = (*intakeService)(nil)
+	_ sampled.Intake       = (*intakeService)(nil)
+)
+
+// Provision implements kernel.Provisioner.
+func (s *intakeService) Provision(k *kernel.Kernel) error {
+	p, err := kernel.Lookup[*peerService](k, PeerTransport)
+	if err != nil {
+		return err
+	}
+	followed, err := kernel.Lookup[*followService](k, ControlFollow)
+	if err != nil {
+		return err
+	}
+	if p.TCPTransport == nil {
+		s.Service = intake.NewService(nil, intake.Alone{}, s.log)
+		return nil
+	}
+	s.Service = intake.NewService(p.TCPTransport, followed.Follower, s.log)
+	return nil
+}
+
+// Stated implements entry.IntakeObserver.
+func (s *intakeService) Stated(u table.Upstream, perSecond float64, limited bool) {
+	s.Hear(u.ID, u.Region, intake.Statement{PerSecond: perSecond, Unlimited: !limited, HeardAt: time.Now()})
+}
+
 // distinct returns the number of different strings in a list.
 func distinct(list []string) int {
 	list = slices.Clone(list)
--- /dev/null
+++ b/pkg/intake/granter_test.go
@@ -0,0 +1,85 @@
+package intake
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// grants asks every step for a time and returns the most grants within a window.
+func grants(g *Granter, s Statement, from time.Time, length, step, window time.Duration) (total, most int) {
+	var at []time.Time
+	for now := from; now.Before(from.Add(length)); now = now.Add(step) {
+		if granted, _, _ := g.Grant("u", s, now); granted {
+			at = append(at, now)
+		}
+	}
+	for i, first := range at {
+		n := 0
+		for _, t := range at[i:] {
+			if t.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return len(at), most
+}
+
+// Guards against a granter that grants more than the limit in any window, or less over time.
+func TestGrantsFollowTheLimit(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 1, 1.6, 12, 150} {
+		is := is.New(t)
+		start := time.Unix(1000, 0)
+		total, most := grants(NewGranter(), Statement{PerSecond: perSecond, HeardAt: start}, start, time.Minute, time.Millisecond, 4*time.Second)
+		is.True(float64(most) <= 4*perSecond+max(perSecond*burstTime.Seconds(), 1))
+		is.True(float64(total) >= 0.97*60*perSecond-1)
+	}
+}
+
+// Guards against grants by an older statement, against a new granter that starts with accumulated grants, and against
+// an upstream that is never used again because it once took nothing.
+func TestStatementsReplaceEachOther(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	g := NewGranter()
+	granted, wait, _ := g.Grant("u", Statement{PerSecond: 2, HeardAt: at(0)}, at(0))
+	is.True(!granted)
+	is.Equal(wait, 500*time.Millisecond)
+	granted, _, _ = g.Grant("u", Statement{PerSecond: 2, HeardAt: at(0)}, at(0.5))
+	is.True(granted)
+
+	g.Report("u", Statement{Unlimited: true, HeardAt: at(1)}, at(1))
+	granted, _, latest := g.Grant("u", Statement{PerSecond: 2, HeardAt: at(0)}, at(1))
+	is.True(granted && latest.Unlimited)
+
+	g.Report("u", Statement{PerSecond: 0, HeardAt: at(2)}, at(2))
+	g.Report("u", Statement{PerSecond: math.NaN(), HeardAt: at(3)}, at(3)) // ignored
+	total, _ := grants(g, Statement{PerSecond: 0, HeardAt: at(2)}, at(3), time.Minute, 100*time.Millisecond, time.Second)
+	is.True(total >= 5 && total <= 7)
+}
+
+// Guards against a table that takes a missing limit for a statement, keeps an older one, or holds an upstream whose
+// limit has changed.
+func TestStatementsOfUpstreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	table := NewStatements()
+	is.True(!table.Hear("u", Statement{Unlimited: true, HeardAt: now}))
+	is.True(table.Hear("u", Statement{PerSecond: 2, HeardAt: now}))
+	is.True(!table.Hear("u", Statement{PerSecond: -1, HeardAt: now.Add(time.Second)}))
+	is.True(!table.Hear("u", Statement{Unlimited: true, HeardAt: now.Add(-time.Second)}))
+	is.True(!table.Hear("u", Statement{PerSecond: 2, HeardAt: now.Add(time.Second)}))
+	table.Hold("u", now.Add(10*time.Second), now)
+	is.True(table.Held("u", now.Add(9*time.Second)))
+	is.True(!table.Held("u", now.Add(10*time.Second)))
+	is.True(table.Hear("u", Statement{PerSecond: 5, HeardAt: now.Add(2 * time.Second)}))
+	is.True(!table.Held("u", now.Add(3*time.Second)))
+	is.True(table.Hear("u", Statement{Unlimited: true, HeardAt: now.Add(4 * time.Second)}))
+	_, limited := table.Limited("u")
+	is.True(!limited)
+	is.Equal(table.Count(), 0)
+}
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -37,6 +37,14 @@
 	Probe(ctx context.Context, pool *table.Pool, u table.Upstream) (Reading, error)
 }
 
+// Intake bounds the requests to upstreams that limit what they take from all instances together.
+type Intake interface {
+	// Held reports whether an upstream gets no request from this instance now.
+	Held(upstream string, now time.Time) bool
+	// Acquire reports whether one request may be sent to an upstream now; it may ask another instance.
+	Acquire(ctx context.Context, upstream, region string) bool
+}
+
 // Location describes where this instance runs. Instance is its name, which selects its subset of a large pool.
 type Location struct{ Instance, Region, FailureDomain string }
 
@@ -69,6 +77,7 @@
 	sizes    *responseSizes
 	readings *lastReadings
 	probes   *ProbeBudget // nil without a limit
+	intake   Intake       // nil if no upstream limits its requests
 	meter    meter
 
 	mu        sync.Mutex
@@ -82,6 +91,9 @@
 	return &Policy{location: place, prober: prober, probes: probes, log: log, suspects: newSuspicions(), sizes: newResponseSizes(), readings: newLastReadings(), pending: map[string]int{}, pressures: map[string]*pressure{}, coldAt: map[string]time.Time{}}
 }
 
+// SetIntake sets the limits of upstreams; it is called before the first choice.
+func (p *Policy) SetIntake(i Intake) { p.intake = i }
+
 // Choice is a chosen upstream. The caller must call Done when the attempt has ended.
 type Choice struct {
 	policy   *Policy
@@ -126,6 +138,10 @@
 		}
 		switch {
 		case v == accept:
+			if p.intake != nil && !p.intake.Acquire(ctx, b.upstream.ID, b.upstream.Region) {
+				p.log.V(1).Info("not granted", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID)
+				continue // the upstream is held and no candidate any more
+			}
 			if c := p.reserve(b, r); c != nil {
 				p.meter.placed(r, time.Since(b.reading.At), rounds)
 				p.log.V(1).Info("placed", "request", r.ID, "pool", r.Pool.Name, "upstream", b.upstream.ID, "rounds", rounds,
@@ -282,9 +298,10 @@
 // is overloaded, upstreams of other regions that were recently full are left out.
 func (p *Policy) candidates(r Request, overloaded bool) []*candidate {
 	var near, far selection
+	now := time.Now()
 	for i := range r.Pool.Upstreams {
 		u := &r.Pool.Upstreams[i]
-		if !r.Pool.Eligible(*u, r.Route, r.Tried) {
+		if !r.Pool.Eligible(*u, r.Route, r.Tried) || p.intake != nil && p.intake.Held(u.ID, now) {
 			continue
 		}
 		weight := subsetWeight(p.location.Instance, u.ID)
@@ -294,7 +311,6 @@
 			near.add(i, weight)
 		}
 	}
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := make([]*candidate, 0, len(near.subset)+len(near.others)+len(far.subset))
