entry: take only a refusal that names the request as proof that it did not run

Cause: a response without a request ID was accepted as the answer to any request. There were two ways to get one: a refusal that is repeated without an ID, and a probe that took a repeated refusal for its own answer and left its own, which has no ID, to the next request on the connection.

Change: where upstreams echo the ID, a refusal must have it; one without counts as a lost response. A probe whose answer has an ID fails, and its connection is closed.

Without echoed IDs (turmericsail's own headers) a repeated refusal cannot be told from a new one.

--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -5,12 +5,17 @@
 	"net/http"
 	"net/url"
 
+	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
+var errForeignResponse = fault.New(fault.Unavailable, "the response belongs to an earlier request", "ask on another connection")
+
 // Ask sends a GET request for path to an upstream and returns the status and header
 // of its response. It uses the same connection pool as requests of callers, so that
-// a request that follows finds a connection known to work.
+// a request that follows finds a connection known to work. A response with a request ID
+// fails: it belongs to an earlier request, and the own one would be read as the response
+// to the next request.
 func (e *Entry) Ask(ctx context.Context, pool *table.Pool, u table.Upstream, path string) (int, http.Header, error) {
 	conns := e.conns.forUpstream(pool, u.Address)
 	for try := 1; ; try++ {
@@ -23,6 +28,10 @@
 			Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		}
 		resp, _, err := conn.roundTrip(req.WithContext(ctx))
+		if err == nil && e.proto.EchoesRequestID && resp.Header.Get(e.proto.RequestID) != "" {
+			conns.discard(conn)
+			return 0, nil, errForeignResponse
+		}
 		if err == nil {
 			if drain(resp.Body) && !resp.Close {
 				_ = resp.Body.Close()
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -69,8 +69,11 @@
 // rejectReason returns why a response cannot be the upstream's response to this request, or "".
 func (p *Protocol) rejectReason(resp *http.Response, id string) string {
 	if p.EchoesRequestID {
-		if echoed := resp.Header.Get(p.RequestID); echoed != "" && echoed != id {
+		switch echoed := resp.Header.Get(p.RequestID); {
+		case echoed != "" && echoed != id:
 			return "the response belongs to another request"
+		case echoed == "" && p.NotRun(resp):
+			return "the refusal does not name the request that it refuses" // it may be that of an earlier request or a probe
 		}
 	}
 	if p.Signature != "" && resp.StatusCode >= 200 && resp.StatusCode < 300 && resp.Header.Get(p.Signature) == "" {
