Refuse requests that may outlast the grace of an instance that leaves

Cause: the entry did not know when its process ends. It took each request on an open connection until the end.

Change: the entry is told the end of the grace when the stop begins.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -99,6 +99,9 @@
 func (l *leaveNotifier) Shutdown(ctx context.Context) error {
 	l.admin.SetLeaving()
 	l.entry.SetLeaving()
+	if grace := l.cfg.Shutdown.Grace.Std(); grace > 0 {
+		l.entry.SetEnd(time.Now().Add(grace))
+	}
 	if err := l.members.Leave(ctx); err != nil {
 		l.log.Info("telling the other instances that this one is leaving failed", "error", err.Error())
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 	relayDialer   *relayDialer
 
 	leaving atomic.Bool
+	endsAt  atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
 	running atomic.Int64
 }
 
@@ -200,6 +201,19 @@
 // while the instance still accepts requests.
 func (e *Entry) SetLeaving() { e.leaving.Store(true) }
 
+// SetEnd sets when the process ends at the latest, whatever still runs. Requests that may last longer are refused
+// from now on, since their callers can still turn to other instances.
+func (e *Entry) SetEnd(at time.Time) { e.endsAt.Store(&at) }
+
+// endMargin is kept between the last response and the end of the process, for the caller to receive it.
+const endMargin = 200 * time.Millisecond
+
+// endsBefore reports whether the process may end before the given time.
+func (e *Entry) endsBefore(t time.Time) bool {
+	end := e.endsAt.Load()
+	return end != nil && t.After(end.Add(-endMargin))
+}
+
 // Running returns the number of requests in progress.
 func (e *Entry) Running() int64 { return e.running.Load() }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -217,6 +217,9 @@
 	if answerLimit := x.route.AnswerLimit.Std(); answerLimit > 0 {
 		x.responseDeadline = x.start.Add(answerLimit)
 	}
+	if x.e.endsBefore(x.latestEnd()) {
+		return refuseLeaving()
+	}
 	x.depth = retry.Depth(x.r.Header) - 1
 	if x.r.ContentLength > x.bodyLimit() {
 		return refuseBody(x.bodyLimit())
@@ -230,6 +233,14 @@
 	return nil
 }
 
+// latestEnd returns when the response ends at the latest, or when it starts if its end has no limit.
+func (x *exchange) latestEnd() time.Time {
+	if x.responseDeadline.IsZero() {
+		return x.deadline
+	}
+	return x.responseDeadline
+}
+
 func (x *exchange) bodyLimit() int64 {
 	if x.route.MaxBody > 0 {
 		return int64(x.route.MaxBody)
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -58,6 +58,13 @@
 	return &Refusal{Status: 503, Kind: "no-configuration", Message: "no tables are known yet", Remedy: "try again", RetryAfter: defaultRetryAfter}
 }
 
+// leavingRetryAfter is the Retry-After of an instance that leaves: other instances take the request at once.
+const leavingRetryAfter = 10 * time.Millisecond
+
+func refuseLeaving() *Refusal {
+	return &Refusal{Status: 503, Kind: "leaving", Message: "the instance ends before the request may", Remedy: "try again on a new connection", RetryAfter: leavingRetryAfter, Close: true}
+}
+
 func refuseNoRoute() *Refusal {
 	return &Refusal{Status: 404, Kind: "no-route", Message: "no route matches the request", Remedy: "check host and path, or add a route"}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,7 +47,7 @@
 		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
-		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), log: log.WithName(EntryLeave)}},
+		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), grace: bounds.Grace, log: log.WithName(EntryLeave)}},
 	} {
 		if err := k.Register(s.name, s.service); err != nil {
 			return nil, err
@@ -153,6 +153,7 @@
 // listeners open until the platform's load balancer has had time to notice.
 type leaveService struct {
 	notice time.Duration
+	grace  time.Duration
 	log    logr.Logger
 	admin  *adminService
 	entry  *entryService
@@ -177,6 +178,7 @@
 	l.log.Info("leaving", "running", l.entry.Running(), "notice", l.notice.String())
 	l.admin.SetLeaving()
 	l.entry.SetLeaving()
+	l.entry.SetEnd(time.Now().Add(l.grace))
 	pause.For(ctx, l.notice)
 	return nil
 }
