Keep what upstreams state for one instance: that they leave, and when to send again

Change: package intake records both by the upstream's ID; a held upstream is no candidate, not probed, and checked again when a request is about to be sent. When all upstreams of a pool are held for longer than a request may wait, it is refused at once with the shortest time left.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -256,16 +256,13 @@
 }
 
 // observeIntake reports what the response states about the requests that the upstream takes. A response of status
-// 421 may come from another upstream, and a failure without a limit does not end one.
+// 421 may come from another upstream.
 func (a *attempt) observeIntake() {
 	x := a.x
-	if a.permit == nil || x.e.ports.Intake == nil || x.e.proto.RequestLimit == nil || a.resp.StatusCode == http.StatusMisdirectedRequest {
+	if a.permit == nil || x.e.ports.Intake == nil || x.e.proto.Intake == nil || a.resp.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
-	perSecond, limited := x.e.proto.RequestLimit(a.resp.Header)
-	if limited || a.resp.StatusCode >= 200 && a.resp.StatusCode < 300 {
-		x.e.ports.Intake.Stated(a.upstream, perSecond, limited)
-	}
+	x.e.ports.Intake.Stated(a.upstream, x.e.proto.Intake(a.resp.StatusCode, a.resp.Header))
 }
 
 // buffer reads the start of the response to an idempotent request, if the protocol asks for it, so
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -21,7 +21,7 @@
 	Hedger     Hedger
 	Relay      Relay
 	Observers  []Observer
-	// Intake learns the request limits of upstreams; nil if nothing keeps them.
+	// Intake learns what upstreams state about the requests that they take; nil if nothing keeps it.
 	Intake IntakeObserver
 	// Protocol names the headers; the default is turmericsail's own.
 	Protocol *Protocol
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -99,10 +99,9 @@
 	Observe(o *Observation)
 }
 
-// IntakeObserver learns how many requests an upstream takes from all instances together. It must not block.
+// IntakeObserver learns what upstreams state about the requests that they take. It must not block.
 type IntakeObserver interface {
-	// Stated is called for a response that names a limit, and for a successful one that names none.
-	Stated(u table.Upstream, perSecond float64, limited bool)
+	Stated(u table.Upstream, i Intake)
 }
 
 // ClaimRequest identifies a non-idempotent request.
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -30,9 +30,8 @@
 	EchoesRequestID bool
 	// NotRun reports whether a response states that the upstream did not run the request.
 	NotRun func(*http.Response) bool
-	// RequestLimit returns the number of requests per second that an upstream takes from all instances together,
-	// and false if the response names none.
-	RequestLimit func(http.Header) (float64, bool)
+	// Intake returns what a response states about the requests that its upstream takes; nil if nothing is stated.
+	Intake func(status int, h http.Header) Intake
 	// BufferResponse is the number of bytes of the response to an idempotent request that are read before any
 	// of it is sent to the caller, so that the request can be retried if the upstream breaks off. With zero,
 	// nothing is buffered.
@@ -47,6 +46,19 @@
 	Plain bool
 }
 
+// Intake is what an upstream states in a response about the requests that it takes.
+type Intake struct {
+	// Leaving is set if it takes no further ones.
+	Leaving bool
+	// Pause is the time for which it takes none from this instance; zero if it does not say so.
+	Pause time.Duration
+	// PerSecond is the number that it takes from all instances together, if Limited is set.
+	PerSecond float64
+	Limited   bool
+	// Success is set if the response is a success, which has everything that the upstream states.
+	Success bool
+}
+
 // DefaultProtocol returns turmericsail's own protocol.
 func DefaultProtocol() Protocol {
 	return Protocol{
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -21,6 +21,7 @@
 type placementAdapter struct {
 	policy *sampled.Policy
 	entry  *entry.Entry
+	intake *intakeService
 }
 
 var (
@@ -28,8 +29,8 @@
 	_ sampled.Prober  = (*placementAdapter)(nil)
 )
 
-func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, limits sampled.Intake, log logr.Logger) {
-	p.entry = e
+func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, limits *intakeService, log logr.Logger) {
+	p.entry, p.intake = e, limits
 	p.policy = sampled.New(sampled.Location{Instance: cfg.Instance, Region: cfg.Region, FailureDomain: cfg.FailureDomain}, p, probes, log)
 	p.policy.SetIntake(limits)
 }
@@ -40,7 +41,11 @@
 	if err != nil {
 		return sampled.Reading{}, err
 	}
-	return platform.DecodeHealth(status, header), nil
+	reading := platform.DecodeHealth(status, header)
+	if reading.Upstream == u.ID { // another upstream may have taken over the address
+		p.intake.statedByProbe(u, platform.DecodeIntake(status, header))
+	}
+	return reading, nil
 }
 
 // Acquire implements entry.Placement.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -133,9 +133,22 @@
 	return nil
 }
 
-// Stated implements entry.IntakeObserver.
-func (s *intakeService) Stated(u table.Upstream, perSecond float64, limited bool) {
-	s.Hear(u.ID, u.Region, intake.Statement{PerSecond: perSecond, Unlimited: !limited, HeardAt: time.Now()})
+// Stated implements entry.IntakeObserver. A failure without a limit does not end one.
+func (s *intakeService) Stated(u table.Upstream, i entry.Intake) {
+	if i.Leaving {
+		s.Leave(u.ID)
+	}
+	if i.Pause > 0 {
+		s.Pause(u.ID, i.Pause)
+	}
+	if i.Limited || i.Success {
+		s.Hear(u.ID, u.Region, intake.Statement{PerSecond: i.PerSecond, Unlimited: !i.Limited, HeardAt: time.Now()})
+	}
+}
+
+// statedByProbe records what the answer to a probe states. It has no limit: probes are not requests.
+func (s *intakeService) statedByProbe(u table.Upstream, i entry.Intake) {
+	s.Stated(u, entry.Intake{Leaving: i.Leaving, Pause: i.Pause})
 }
 
 // distinct returns the number of different strings in a list.
--- a/pkg/intake/doc.go
+++ b/pkg/intake/doc.go
@@ -1,5 +1,8 @@
-// Package intake keeps the limits that upstreams state for the requests that they take from
-// all instances together.
+// Package intake keeps what upstreams state in their responses about the requests that they
+// take: that they leave, that they want none from this instance for a time, and how many they
+// take from all instances together.
+//
+// The first two hold for the instance that heard them, at once and without messages.
 //
 // An upstream in need names a number of requests per second in its responses. Shares of that
 // number that instances use on their own do not keep it: 18 instances that may each send one
--- a/pkg/intake/granter_test.go
+++ b/pkg/intake/granter_test.go
@@ -83,3 +83,23 @@
 	is.True(!limited)
 	is.Equal(table.Count(), 0)
 }
+
+// Guards against a pause that ends early or never, and against one that a shorter statement ends.
+func TestPausesOfUpstreams(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	after := func(s float64) time.Time { return now.Add(time.Duration(s * float64(time.Second))) }
+	table := NewStatements()
+	is.True(!table.Pause("u", 0, now))
+	is.True(!table.Pause("u", -time.Second, now))
+	is.True(table.Pause("u", 3*time.Second, now))
+	is.True(!table.Pause("u", time.Second, now))
+	is.True(table.Held("u", after(2.9)))
+	is.True(!table.Held("u", after(3)))
+	is.True(!table.Held("v", now))
+	is.True(table.Pause("u", 365*24*time.Hour, after(4)))
+	is.True(!table.Held("u", after(4+longestPause.Seconds())))
+	is.True(table.Leave("v", now))
+	is.True(table.Held("v", after(leavingTime.Seconds()-1)))
+	is.True(!table.Held("v", after(leavingTime.Seconds())))
+}
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -82,19 +82,33 @@
 	}()
 }
 
-// Held reports whether an upstream gets no request from this instance now.
-func (s *Service) Held(upstream string, now time.Time) bool { return s.statements.Held(upstream, now) }
+// Leave records that an upstream leaves.
+func (s *Service) Leave(upstream string) {
+	if s.statements.Leave(upstream, time.Now()) {
+		s.log.Info("upstream leaves", "upstream", upstream)
+	}
+}
+
+// Pause records that an upstream takes no request of this instance for a time.
+func (s *Service) Pause(upstream string, pause time.Duration) {
+	if s.statements.Pause(upstream, pause, time.Now()) {
+		s.log.Info("upstream asks for a pause", "upstream", upstream, "pause", pause.String())
+	}
+}
+
+// HeldUntil returns the time until which an upstream gets no request from this instance.
+func (s *Service) HeldUntil(upstream string) time.Time { return s.statements.HeldUntil(upstream) }
 
 // Acquire reports whether one request may be sent to an upstream now. It asks the granter if the upstream
 // limits its requests.
 func (s *Service) Acquire(ctx context.Context, upstream, region string) bool {
+	if s.statements.Held(upstream, time.Now()) {
+		return false
+	}
 	statement, limited := s.statements.Limited(upstream)
 	if !limited {
 		return true
 	}
-	if s.statements.Held(upstream, time.Now()) {
-		return false
-	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	reply, err := s.call(ctx, region, &peerpb.IntakeRequest{Upstream: upstream}, statement)
--- a/pkg/intake/service_test.go
+++ b/pkg/intake/service_test.go
@@ -102,7 +102,7 @@
 
 // send sends a request to an upstream if it may, and hears its statement.
 func (n *node) send(u *limitedUpstream) {
-	if n.service.Held(u.id, time.Now()) || !n.service.Acquire(context.Background(), u.id, u.region) || n.frozen {
+	if !n.service.Acquire(context.Background(), u.id, u.region) || n.frozen {
 		return
 	}
 	now := time.Now()
--- a/pkg/intake/statements.go
+++ b/pkg/intake/statements.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -32,12 +33,24 @@
 	return s.Unlimited == o.Unlimited && (s.Unlimited || s.PerSecond == o.PerSecond)
 }
 
+const (
+	// leavingTime is how long an upstream that says that it leaves gets nothing. One that leaves is gone before, and
+	// one that starts again under its ID comes back after it.
+	leavingTime = time.Minute
+	// longestPause bounds the time for which an upstream may ask to be left alone; one that asks for longer gets one
+	// request then.
+	longestPause = 10 * time.Minute
+)
+
 // Statements holds the latest statement of each upstream that has limited its requests, and until when the
-// instance does not ask for a grant again. It is safe for concurrent use.
+// instance does not ask for a grant again; besides, until when upstreams take no request of this instance at all. It
+// is safe for concurrent use.
 type Statements struct {
 	limited atomic.Int64 // upstreams that limit their requests, so that calls cost little while there are none
+	paused  atomic.Int64 // upstreams that take no request
 	mu      sync.Mutex
 	list    map[string]*stated
+	pauses  map[string]time.Time // the ends, by upstream
 }
 
 type stated struct {
@@ -47,7 +60,9 @@
 }
 
 // NewStatements returns an empty table.
-func NewStatements() *Statements { return &Statements{list: map[string]*stated{}} }
+func NewStatements() *Statements {
+	return &Statements{list: map[string]*stated{}, pauses: map[string]time.Time{}}
+}
 
 // Hear records a statement and reports whether the limit differs from the one known before. Statements older than the known one,
 // invalid ones and those of upstreams that never limited their requests and still do not are ignored.
@@ -100,15 +115,48 @@
 	}
 }
 
-// Held reports whether no grant can be had now.
-func (t *Statements) Held(upstream string, now time.Time) bool {
-	if t.limited.Load() == 0 {
+// Leave records that an upstream leaves, and reports whether that is news.
+func (t *Statements) Leave(upstream string, now time.Time) (changed bool) {
+	return t.pause(upstream, now.Add(leavingTime), now)
+}
+
+// Pause records that an upstream takes no request of this instance for a time, and reports whether that is news. Times
+// that are not positive are ignored.
+func (t *Statements) Pause(upstream string, pause time.Duration, now time.Time) (changed bool) {
+	return pause > 0 && t.pause(upstream, now.Add(min(pause, longestPause)), now)
+}
+
+func (t *Statements) pause(upstream string, end, now time.Time) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	defer func() { t.paused.Store(int64(len(t.pauses))) }()
+	maps.DeleteFunc(t.pauses, func(_ string, end time.Time) bool { return !now.Before(end) })
+	known, ok := t.pauses[upstream]
+	if ok && !end.After(known) || len(t.pauses) >= maxUpstreams {
 		return false
 	}
+	t.pauses[upstream] = end
+	return !ok
+}
+
+// Held reports whether an upstream gets no request now.
+func (t *Statements) Held(upstream string, now time.Time) bool {
+	return now.Before(t.HeldUntil(upstream))
+}
+
+// HeldUntil returns the time until which an upstream gets no request: it leaves, asked to be left alone, or has no grant
+// to be had.
+func (t *Statements) HeldUntil(upstream string) time.Time {
+	if t.limited.Load() == 0 && t.paused.Load() == 0 {
+		return time.Time{}
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.list[upstream]
-	return known != nil && !known.Unlimited && now.Before(known.heldUntil)
+	end := t.pauses[upstream]
+	if known := t.list[upstream]; known != nil && !known.Unlimited && known.heldUntil.After(end) {
+		end = known.heldUntil
+	}
+	return end
 }
 
 // Count returns the number of upstreams that limit their requests.
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -37,10 +37,10 @@
 	Probe(ctx context.Context, pool *table.Pool, u table.Upstream) (Reading, error)
 }
 
-// Intake bounds the requests to upstreams that limit what they take from all instances together.
+// Intake knows which upstreams take no request now, or only some.
 type Intake interface {
-	// Held reports whether an upstream gets no request from this instance now.
-	Held(upstream string, now time.Time) bool
+	// HeldUntil returns the time until which an upstream gets no request from this instance.
+	HeldUntil(upstream string) time.Time
 	// Acquire reports whether one request may be sent to an upstream now; it may ask another instance.
 	Acquire(ctx context.Context, upstream, region string) bool
 }
@@ -121,6 +121,11 @@
 		if len(list) == 0 && !r.Pool.AnyEligible(r.Route, r.Tried) {
 			return nil, &RefusedError{fault.New(fault.Unavailable, "the pool has no upstream in service", "try again, or bring upstreams into service"), ch.retryAfter(time.Now(), rand.Float64())}
 		}
+		if wait := p.heldFor(r, list, time.Now()); wait > ch.maxWait() {
+			p.meter.refused(r)
+			p.log.V(1).Info("all held", "request", r.ID, "pool", r.Pool.Name, "wait", wait.String())
+			return nil, &RefusedError{fault.New(fault.Exhausted, "no upstream takes a request now", "try again with a delay"), max(spread(wait, rand.Float64()), ch.retryAfter(time.Now(), rand.Float64()))}
+		}
 		rank(list)
 		near := len(list)
 		if p.sizes.hasLargeResponses(r.Route.Name) {
@@ -301,7 +306,7 @@
 	now := time.Now()
 	for i := range r.Pool.Upstreams {
 		u := &r.Pool.Upstreams[i]
-		if !r.Pool.Eligible(*u, r.Route, r.Tried) || p.intake != nil && p.intake.Held(u.ID, now) {
+		if !r.Pool.Eligible(*u, r.Route, r.Tried) || p.intake != nil && now.Before(p.intake.HeldUntil(u.ID)) {
 			continue
 		}
 		weight := subsetWeight(p.location.Instance, u.ID)
@@ -330,6 +335,28 @@
 	return list
 }
 
+// heldFor returns the time until an upstream of the pool takes a request again if there is no candidate because all
+// are held, or zero.
+func (p *Policy) heldFor(r Request, candidates []*candidate, now time.Time) time.Duration {
+	if p.intake == nil || len(candidates) > 0 {
+		return 0
+	}
+	var wait time.Duration
+	for _, u := range r.Pool.Upstreams {
+		if !r.Pool.Eligible(u, r.Route, r.Tried) {
+			continue
+		}
+		left := p.intake.HeldUntil(u.ID).Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if wait == 0 || left < wait {
+			wait = left
+		}
+	}
+	return wait
+}
+
 // poolPressure returns the pressure of a pool and creates it on first use.
 func (p *Policy) poolPressure(pool string) *pressure {
 	p.mu.Lock()
--- a/pkg/placement/sampled/refuse.go
+++ b/pkg/placement/sampled/refuse.go
@@ -40,3 +40,12 @@
 	later := time.Duration(retryLaterShare * float64(ch.deadline.Sub(now)))
 	return max(time.Duration((0.4+0.6*point)*float64(later)), soon)
 }
+
+// maxSpread bounds the time over which callers return that were refused until the same moment.
+const maxSpread = time.Second
+
+// spread returns a delay after wait, so that callers that wait for the same upstream do not return together. point
+// is uniform in [0, 1).
+func spread(wait time.Duration, point float64) time.Duration {
+	return wait + time.Duration(point*float64(min(wait, maxSpread)))
+}
