--- a/internal/entry/repeated_refusal_test.go
+++ b/internal/entry/repeated_refusal_test.go
@@ -14,7 +14,7 @@
 
 const (
 	testRequestID = "X-Id"
-	testRefusal   = "X-Not-Executed"
+	testRefusal   = "X-Refused"
 )
 
 // withEcho sets a protocol in which upstreams echo the request ID and name refused requests.
