--- a/pkg/intake/service_test.go
+++ b/pkg/intake/service_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,7 @@
 
 // world is a region store with leased keys, upstreams that limit their requests, and instances that send to them.
 type world struct {
+	mu        sync.Mutex // guards what calls in flight use: roles, statements of upstreams and their counts
 	random    *rand.Rand
 	net       *peertest.Network
 	nodes     []*node
@@ -59,11 +61,17 @@
 }
 
 func (n *node) Granter(region string) (peer.InstanceID, bool) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
 	id, ok := n.known[region]
 	return id, ok
 }
 
-func (n *node) MayGrant(now time.Time) bool { return !now.Before(n.from) && now.Before(n.until) }
+func (n *node) MayGrant(now time.Time) bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return !now.Before(n.from) && now.Before(n.until)
+}
 
 type limitedUpstream struct {
 	id, region string
@@ -82,6 +90,8 @@
 
 // contactStore renews or takes the key of the region and learns the holders of the others.
 func (n *node) contactStore(now time.Time) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
 	if n.cutOff || n.frozen {
 		return
 	}
@@ -102,10 +112,21 @@
 
 // send sends a request to an upstream if it may, and hears its statement.
 func (n *node) send(u *limitedUpstream) {
-	if !n.service.Acquire(context.Background(), u.id, u.region) || n.frozen {
+	if !n.service.Acquire(context.Background(), u.id, u.region) {
 		return
 	}
-	now := time.Now()
+	if statement, ok := n.receive(u, time.Now()); ok {
+		n.service.Hear(u.id, u.region, statement)
+	}
+}
+
+// receive counts a request of the instance that arrives at an upstream and returns what the upstream states.
+func (n *node) receive(u *limitedUpstream, now time.Time) (Statement, bool) {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.frozen {
+		return Statement{}, false
+	}
 	if told, ok := n.told[u]; ok && now.Sub(told) > knownTime {
 		u.arrivals = append(u.arrivals, now)
 	}
@@ -115,7 +136,7 @@
 	if u.first.IsZero() {
 		u.first = now
 	}
-	n.service.Hear(u.id, u.region, Statement{PerSecond: u.perSecond, HeardAt: now})
+	return Statement{PerSecond: u.perSecond, HeardAt: now}, true
 }
 
 // most returns the largest number of requests in a window, as a share of what is allowed.
@@ -144,7 +165,7 @@
 	random := rand.New(rand.NewPCG(seed, 28))
 	w := &world{random: random, net: peertest.New(seed), keys: map[string]*regionKey{}}
 	regions := []string{"north", "central", "south"}
-	w.net.SetLatency(func(_, _ peer.InstanceID) time.Duration { return time.Duration(random.IntN(12)+1) * time.Millisecond })
+	w.net.SetFaults(peertest.Faults{Jitter: 12 * time.Millisecond})
 	for _, r := range regions {
 		w.keys[r] = &regionKey{}
 	}
@@ -197,6 +218,8 @@
 
 // disturb does one random thing to the instances, the network, the store or an upstream.
 func (w *world) disturb(now time.Time, regions []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	i := w.random.IntN(len(w.nodes))
 	n := w.nodes[i]
 	switch w.random.IntN(8) {
