--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net"
 	"net/http"
 	"time"
@@ -167,6 +168,9 @@
 // not read before sending.
 type Fingerprint [16]byte
 
+// Short returns the start of the fingerprint, which is enough to find the repeats of a request in a log.
+func (f Fingerprint) Short() string { return hex.EncodeToString(f[:4]) }
+
 // Admission is quarantine's permission to send a request to an upstream.
 type Admission struct {
 	// Done releases the permission.
