--- a/internal/daemon/attempts.go
+++ b/internal/daemon/attempts.go
@@ -111,7 +111,7 @@
 type quarantineService struct {
 	*quarantine.Service
 	limits *limits
-	checks lossChecks
+	checks quarantine.Checks
 }
 
 var _ entry.Quarantine = (*quarantineService)(nil)
@@ -126,14 +126,14 @@
 func (s *quarantineService) Admit(ctx context.Context, route *table.Route, f entry.Fingerprint) (entry.Admission, bool) {
 	switch s.Service.Admit(time.Now(), s.request(route, f)) {
 	case quarantine.Refuse:
-		return entry.Admission{}, false
+		return entry.Admission{RetryAfter: time.Until(s.RefusedUntil(s.request(route, f)))}, false
 	case quarantine.Run:
 		return entry.Admission{Done: func() {}}, true
 	}
 	gate := s.limits.quota.Gate(quarantine.Resource(route.Pool), 0)
 	for {
 		if unit, ok := gate.Acquire(time.Now()); ok {
-			return entry.Admission{Done: unit.Done, Avoid: s.lostDuring(route, f)}, true
+			return entry.Admission{Done: unit.Done, Avoid: s.lostDuring(route, f), Suspect: true}, true
 		}
 		select {
 		case <-ctx.Done():
@@ -157,15 +157,15 @@
 }
 
 // Ended implements entry.Quarantine.
-func (s *quarantineService) Ended(route *table.Route, f entry.Fingerprint, u table.Upstream, lost bool) {
-	end := quarantine.Completed
-	if lost {
+func (s *quarantineService) Ended(route *table.Route, f entry.Fingerprint, e entry.RunEnd) {
+	end, u := quarantine.Completed, e.Upstream
+	if e.Lost {
 		end = quarantine.Cut
 	}
 	at := quarantine.Upstream{Pool: route.Pool, ID: u.ID, FailureDomain: u.FailureDomain}
-	s.Service.RecordOutcome(time.Now(), at, s.request(route, f), end, route.HomeRegions)
-	if lost {
-		s.checks.start(at, u.Address, func() { s.RecordRefusedConnection(time.Now(), at) })
+	s.Service.RecordOutcome(time.Now(), e.Began, at, s.request(route, f), end, route.HomeRegions)
+	if e.Lost {
+		s.checks.Start(at, u.Address, func() { s.RecordRefusedConnection(time.Now(), at) })
 	}
 }
 
--- a/internal/daemon/losscheck_test.go
+++ b/internal/daemon/losscheck_test.go
@@ -15,6 +15,9 @@
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
+// lossCheckTime bounds a connection attempt of a check.
+const lossCheckTime = 250 * time.Millisecond
+
 // newQuarantineService returns the quarantine of an instance without peers.
 func newQuarantineService(t *testing.T) *quarantineService {
 	settings := quarantine.DefaultSettings()
@@ -34,7 +37,7 @@
 	is := is.New(t)
 	s, route, print := newQuarantineService(t), &table.Route{Name: "r", Pool: "p"}, entry.Fingerprint{1}
 	now, lost := time.Now(), quarantine.Upstream{Pool: "p", ID: "u", FailureDomain: "n1"}
-	s.Service.RecordOutcome(now, lost, s.request(route, print), quarantine.Cut, nil)
+	s.Service.RecordOutcome(now, now, lost, s.request(route, print), quarantine.Cut, nil)
 	s.RecordRefusedConnection(now, lost)
 	same, other := quarantine.Upstream{Pool: "p", ID: "u"}, quarantine.Upstream{Pool: "p", ID: "other"}
 	is.Equal(s.LostDuring(s.request(route, print), []quarantine.Upstream{other, same}), []quarantine.Upstream{same})
@@ -64,9 +67,9 @@
 				is.NoErr(l.Close())
 			}
 			s, route, print := newQuarantineService(t), &table.Route{Name: "r", Pool: "p"}, entry.Fingerprint{1}
-			s.Ended(route, print, table.Upstream{ID: "u", Address: address}, true)
+			s.Ended(route, print, entry.RunEnd{Upstream: table.Upstream{ID: "u", Address: address}, Began: time.Now(), Lost: true})
 			verdict := func() quarantine.Verdict { return s.Service.Admit(time.Now(), s.request(route, print)) }
-			for end := time.Now().Add(2 * lossCheckTimeout); verdict() != quarantine.Serialize && time.Now().Before(end); {
+			for end := time.Now().Add(2 * lossCheckTime); verdict() != quarantine.Serialize && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
 			is.Equal(verdict(), c.want)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -114,9 +114,8 @@
 	return a
 }
 
-// withoutLosses adds the upstreams that were lost while they ran the request to the
-// excluded ones: losing the same upstream twice gives no new evidence against the
-// request. If no other upstream is eligible, exclude is returned unchanged.
+// withoutLosses adds the upstreams that the request is kept from to the excluded ones. Those that were lost while they
+// ran it are among them: losing the same upstream twice gives no new evidence against the request. If no other upstream is eligible, exclude is returned unchanged.
 func withoutLosses(pool *table.Pool, route *table.Route, exclude, lost []string) []string {
 	if len(lost) == 0 {
 		return exclude
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 )
 
@@ -107,8 +108,9 @@
 	}
 	a.permit.Done(r)
 	a.observe(r)
-	if lost := e == EndLost; (lost || e == EndAnswered) && a.x.fingerprint != (Fingerprint{}) {
-		a.x.e.ports.Quarantine.Ended(&a.x.route, a.x.fingerprint, a.upstream, lost)
+	served := e == EndAnswered && r.Status < http.StatusInternalServerError
+	if lost := e == EndLost; (lost || served) && a.x.fingerprint != (Fingerprint{}) {
+		a.x.e.ports.Quarantine.Ended(&a.x.route, a.x.fingerprint, RunEnd{Upstream: a.upstream, Began: a.sentAt, Lost: lost})
 	}
 	a.x.e.countCrossRegion(a.upstream.Region, a.bytesUp(), a.bytesDown)
 }
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -130,7 +130,7 @@
 }
 
 // Ended implements Quarantine.
-func (noQuarantine) Ended(*table.Route, Fingerprint, table.Upstream, bool) {}
+func (noQuarantine) Ended(*table.Route, Fingerprint, RunEnd) {}
 
 type noRelay struct{}
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -52,7 +52,8 @@
 	header            http.Header
 	fingerprint       Fingerprint
 	releaseQuarantine func()   // ends the admission by quarantine
-	avoid             []string // upstreams that were lost while they ran the request
+	avoid             []string // see Admission
+	suspect           bool     // see Admission
 
 	identity      string
 	ticket        Ticket
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -175,8 +175,22 @@
 type Admission struct {
 	// Done releases the permission.
 	Done func()
-	// Avoid lists the IDs of upstreams that were lost while they ran the request.
+	// Avoid lists the IDs of upstreams that the request is not sent to while others are eligible: those that were lost
+	// while they ran it, and those that it is kept from so that it ends few.
 	Avoid []string
+	// Suspect is set for a request that an upstream was lost under. It is sent to one upstream at a time.
+	Suspect bool
+	// RetryAfter is the time after which a request that was not admitted may come back; zero if that is not known.
+	RetryAfter time.Duration
+}
+
+// RunEnd describes the end of an attempt that may have run at an upstream.
+type RunEnd struct {
+	Upstream table.Upstream
+	Began    time.Time
+	// Lost is set if the connection was lost while the request ran. Otherwise the upstream sent a complete response
+	// that is no error of its own.
+	Lost bool
 }
 
 // Quarantine refuses requests that coincide with the loss of upstreams.
@@ -184,9 +198,8 @@
 	// Admit reports whether the request may be sent to an upstream. It may wait
 	// until ctx ends. If ok is true, admission.Done is called when the request has ended.
 	Admit(ctx context.Context, route *table.Route, f Fingerprint) (admission Admission, ok bool)
-	// Ended reports that an attempt got a complete response, or that the connection to
-	// the upstream was lost while it ran the request.
-	Ended(route *table.Route, f Fingerprint, upstream table.Upstream, lost bool)
+	// Ended reports the end of an attempt.
+	Ended(route *table.Route, f Fingerprint, end RunEnd)
 }
 
 // RetryRequest asks for one more attempt.
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -79,11 +79,12 @@
 	return refuseIncompleteBody()
 }
 
-// computeFingerprint returns the identification of the request for quarantine. A body
+// computeFingerprint returns the identification of the request for quarantine: what the upstream sees of it that the
+// caller repeats. The route is not part of it, since an operator may change the route of a request. A body
 // that is too large to be read before sending is left out, which is only safe for a
 // request with an identity: otherwise all uploads to a path would share a fingerprint.
 func (x *exchange) computeFingerprint(body string) Fingerprint {
-	sum := digest(x.route.Name, x.r.Method, x.r.Host, x.r.URL.EscapedPath(), x.r.URL.RawQuery, x.identity, body)
+	sum := digest(x.workspace, x.r.Method, x.r.Host, x.r.URL.EscapedPath(), x.r.URL.RawQuery, x.identity, body)
 	return Fingerprint(sum[:16])
 }
 
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -22,8 +22,8 @@
 	return Admission{Done: func() { q.held.Add(-1) }}, true
 }
 
-func (q *refuseAfterLoss) Ended(_ *table.Route, _ Fingerprint, _ table.Upstream, lost bool) {
-	if lost {
+func (q *refuseAfterLoss) Ended(_ *table.Route, _ Fingerprint, end RunEnd) {
+	if end.Lost {
 		q.lost.Add(1)
 	}
 }
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -105,8 +105,14 @@
 	return &Refusal{Status: 421, Kind: "outside-home-regions", Message: "no entry inside the home regions of the request can be reached", Remedy: "send the request to an entry inside its home regions, or try again", RetryAfter: defaultRetryAfter}
 }
 
-func refuseQuarantined() *Refusal {
-	return &Refusal{Status: 503, Kind: "quarantined", Message: "the request coincided with the loss of upstreams", Remedy: "do not repeat it; find out why it stops the upstream"}
+// refuseQuarantined returns the refusal of a request that coincided with the loss of upstreams. ranBefore is set if an
+// earlier attempt may have run and only the status can tell the caller.
+func refuseQuarantined(after time.Duration, ranBefore bool) *Refusal {
+	status := http.StatusServiceUnavailable
+	if ranBefore {
+		status = http.StatusBadGateway
+	}
+	return &Refusal{Status: status, Kind: "quarantined", Message: "the request coincided with the loss of upstreams", Remedy: "do not repeat it; find out why it stops the upstream", RetryAfter: after}
 }
 
 func refuseUpstream() *Refusal {
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -42,14 +42,14 @@
 	defer cancel()
 	admission, ok := x.e.ports.Quarantine.Admit(ctx, &x.route, x.fingerprint)
 	if ok {
-		x.releaseQuarantine, x.avoid = admission.Done, admission.Avoid
+		x.releaseQuarantine, x.avoid, x.suspect = admission.Done, admission.Avoid, admission.Suspect
 		return nil
 	}
 	x.releaseQuarantine = func() {}
 	if x.pastDeadline() {
 		return refuseDeadline()
 	}
-	return refuseQuarantined()
+	return refuseQuarantined(admission.RetryAfter, x.maybeRan.Load() && x.e.proto.Outcome == "")
 }
 
 // readmit releases the admission by quarantine and requests a new one before a retry.
@@ -79,7 +79,7 @@
 	switch a.fail {
 	case failUnreached, failShed:
 	case failBusy, failLost:
-		if !x.route.IsIdempotent(x.r.Method) {
+		if !x.route.IsIdempotent(x.r.Method) || a.fail == failLost && x.suspect {
 			return false
 		}
 	default:
@@ -196,12 +196,12 @@
 }
 
 // hedgeDelay returns the delay before a second copy may be sent, or false if the request must not be
-// hedged. Only idempotent requests without a body and without an identity are hedged.
+// hedged. Only idempotent requests without a body and without an identity are hedged, and no suspects.
 func (x *exchange) hedgeDelay() (time.Duration, bool) {
 	if x.runs()+1 >= x.route.Retry.MaxAttempts { // the first copy uses the last allowed attempt
 		return 0, false
 	}
-	if x.body != nil || x.identity != "" || !x.route.IsIdempotent(x.r.Method) {
+	if x.body != nil || x.identity != "" || x.suspect || !x.route.IsIdempotent(x.r.Method) {
 		return 0, false
 	}
 	return x.e.ports.Hedger.After(&x.pool, &x.route)
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -163,12 +163,12 @@
 	if status >= 200 && status < 300 {
 		log = log.V(x.e.routineVerbosity)
 	}
-	fields := []any{"request", x.id, "route", x.route.Name, "pool", x.pool.Name, "upstream", a.upstream.ID, "address", a.upstream.Address,
-		"reused", a.conn.reused, "sent", a.sent, "status", status, "took", time.Since(a.sentAt).String(), "error", reason}
+	fingerprint := ""
 	if reason != "" && x.fingerprint != (Fingerprint{}) {
-		fields = append(fields, "fingerprint", x.fingerprint.Short())
+		fingerprint = x.fingerprint.Short()
 	}
-	log.Info("attempt", fields...)
+	log.Info("attempt", "request", x.id, "route", x.route.Name, "pool", x.pool.Name, "upstream", a.upstream.ID, "address", a.upstream.Address,
+		"reused", a.conn.reused, "sent", a.sent, "status", status, "took", time.Since(a.sentAt).String(), "error", reason, "fingerprint", fingerprint)
 }
 
 func (x *exchange) logRequest(took time.Duration) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -92,27 +92,30 @@
 
 // Follower publishes snapshots of the store.
 type Follower struct {
-	log        logr.Logger
-	source     store.ChangeLog
-	codec      Codec
-	ephemeral  store.EphemeralKeys
-	peers      peer.Transport
-	self       Self
-	seeds      []string
-	dial       func(ctx context.Context, address string) (peer.InstanceID, error)
-	replica    *replica
-	writer     store.Writer
-	regions    int
-	counter    *instanceCounter
-	fleet      atomic.Pointer[map[string]int] // recorded numbers of instances by region
-	readers    atomic.Pointer[map[string]Reader]
-	lastReader atomic.Pointer[Reader]    // the latest reader that was fresh or had new changes
-	isReader   atomic.Bool               // this instance holds a reader lease
-	grantsFrom atomic.Pointer[time.Time] // when this instance may act for its region
-	storeDown  atomic.Bool               // the last call to the store failed, and no renewal of the reader lease has succeeded since
-	fromStore  atomic.Bool               // the latest data came from the store itself
-	current    atomic.Pointer[control.Snapshot]
-	updates    chan update
+	log           logr.Logger
+	source        store.ChangeLog
+	codec         Codec
+	ephemeral     store.EphemeralKeys
+	peers         peer.Transport
+	self          Self
+	seeds         []string
+	dial          func(ctx context.Context, address string) (peer.InstanceID, error)
+	replica       *replica
+	writer        store.Writer
+	regions       int
+	counter       *instanceCounter
+	callers       *callers
+	shared        atomic.Pointer[map[string]map[string][]byte] // by name and region
+	fleet         atomic.Pointer[map[string]int]               // recorded numbers of instances by region
+	readers       atomic.Pointer[map[string]Reader]
+	lastReader    atomic.Pointer[Reader]    // the latest reader that was fresh or had new changes
+	isReader      atomic.Bool               // this instance holds a reader lease
+	grantsFrom    atomic.Pointer[time.Time] // when this instance may act for its region
+	storeDown     atomic.Bool               // the last call to the store failed, and no renewal of the reader lease has succeeded since
+	fromStore     atomic.Bool               // the latest data came from the store itself
+	current       atomic.Pointer[control.Snapshot]
+	updates       chan update
+	sharedChanged chan struct{}
 
 	// Owned by syncLoop.
 	revision     uint64
@@ -137,7 +140,7 @@
 func New(opts Options, log logr.Logger) *Follower {
 	f := &Follower{
 		source: opts.Source, codec: opts.Codec, ephemeral: opts.Ephemeral, peers: opts.Peers, self: opts.Self, seeds: opts.Seeds, dial: opts.Dial, log: log,
-		replica: newReplica(), writer: opts.Writer, regions: opts.Regions, counter: newInstanceCounter(), updates: make(chan update), avoidUntil: map[peer.InstanceID]time.Time{},
+		replica: newReplica(), writer: opts.Writer, regions: opts.Regions, counter: newInstanceCounter(), callers: newCallers(), sharedChanged: make(chan struct{}, 1), updates: make(chan update), avoidUntil: map[peer.InstanceID]time.Time{},
 	}
 	f.current.Store(&control.Snapshot{})
 	metrics.GetOrCreateGauge("turmericsail_store_knowledge_age_seconds", f.replica.age)
@@ -491,6 +494,7 @@
 	f.readers.Store(&readers)
 	sizes := state.fleetSizes()
 	f.fleet.Store(&sizes)
+	f.publishShared(state.sharedValues())
 	tables, problems := state.tables()
 	if tables == nil {
 		return
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -48,6 +48,7 @@
 	if err := proto.Unmarshal(payload, &request); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "the request cannot be decoded", "send a ChangesRequest")
 	}
+	f.callers.record(from, time.Now())
 	if request.Region == f.self.Region {
 		f.counter.record(from, time.Now())
 	}
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -330,7 +330,7 @@
 		entries = append(entries, store.Entry{Key: fmt.Sprint(i), Value: []byte(strings.Repeat("v", 100)), Revision: uint64(i + 1)})
 	}
 	r.reset(entries, 100, time.Now())
-	f := &Follower{replica: r, counter: newInstanceCounter()}
+	f := &Follower{replica: r, counter: newInstanceCounter(), callers: newCallers()}
 	reply, err := f.handleChanges(context.Background(), "a", []byte{0x18, 1}) // full = true
 	is.NoErr(err)
 	packed := reply.(interface{ GetPacked() []byte }).GetPacked()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -30,6 +30,7 @@
 	Upstream               *store.ListedInstance
 	reader                 *Reader
 	fleetSize              *fleetSize
+	shared                 *sharedValue
 }
 
 // Codec decodes the keys that the operator and the upstreams write.
@@ -109,6 +110,8 @@
 		decoded.reader, err = decodeReader(e)
 	} else if strings.HasPrefix(e.Key, fleetPrefix) {
 		decoded.fleetSize, err = decodeFleetSize(e)
+	} else if strings.HasPrefix(e.Key, sharedPrefix) {
+		decoded.shared, err = decodeShared(e)
 	} else {
 		decoded, err = s.codec.Decode(e)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,12 +23,13 @@
 
 // Names of the services.
 const (
-	PeerTransport = "peer.transport"
-	ControlFollow = "control.follow"
-	EntryIntake   = "entry.intake"
-	EntryHTTP     = "entry.http"
-	AdminHTTP     = "admin.http"
-	EntryLeave    = "entry.leave"
+	PeerTransport   = "peer.transport"
+	ControlFollow   = "control.follow"
+	EntryIntake     = "entry.intake"
+	EntryQuarantine = "entry.quarantine"
+	EntryHTTP       = "entry.http"
+	AdminHTTP       = "admin.http"
+	EntryLeave      = "entry.leave"
 )
 
 // New returns a kernel with the services of an instance on the platform.
@@ -45,6 +46,7 @@
 		{PeerTransport, &peerService{cfg: cfg, log: log.WithName(PeerTransport)}},
 		{ControlFollow, &followService{cfg: cfg, log: log.WithName(ControlFollow)}},
 		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
+		{EntryQuarantine, &quarantineService{cfg: cfg, log: log.WithName(EntryQuarantine)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
 		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), grace: bounds.Grace, log: log.WithName(EntryLeave)}},
@@ -106,12 +108,16 @@
 	if err != nil {
 		return err
 	}
+	suspects, err := kernel.Lookup[*quarantineService](k, EntryQuarantine)
+	if err != nil {
+		return err
+	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
 	c.budgets = newRetryBudgets(c.bounds, instances)
 	c.probes = sampled.NewProbeBudget(c.bounds.ProbesPerSecond, instances)
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits,
+		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
 	}, c.log)
 	adapter.bind(c.cfg, c.Entry, c.probes, limits, c.log)
 	return nil
--- a/internal/logging/events_test.go
+++ b/internal/logging/events_test.go
@@ -17,7 +17,7 @@
 )
 
 // loggingPackages are the packages that write the log lines of an instance on the platform.
-var loggingPackages = []string{"internal/entry", "internal/follow", "internal/gateway", "internal/logging", "internal/cli", "pkg/intake", "pkg/placement/sampled", "pkg/peer"}
+var loggingPackages = []string{"internal/entry", "internal/follow", "internal/gateway", "internal/logging", "internal/cli", "pkg/intake", "pkg/placement/sampled", "pkg/peer", "pkg/quarantine"}
 
 // eventsOf returns the field names of each event logged in the sources, by its message.
 func eventsOf(t *testing.T) map[string][]string {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -3,29 +3,35 @@
 //
 // A Watcher per upstream records which requests were interrupted ("cut") when the
 // upstream was lost. Each of them becomes a suspect. Suspects are identified by a
-// fingerprint, a keyed hash that does not reveal the request. After losses of two
-// distinct upstreams all instances refuse the fingerprint. Losses in one failure
-// domain within Settings.Together count once, so that a rack failure does not
-// cause the requests of several of its upstreams to be refused.
+// fingerprint, a keyed hash that does not reveal the request. After losses of
+// Settings.MinLosses distinct upstreams all instances refuse the fingerprint. A loss
+// counts only if the request began to run there after the previous counted one, so
+// that upstreams that end together, for a reason of their own, count once however many copies
+// of a request they run. Losses in one failure domain within Settings.Together count once, too.
 //
 // Most suspects are harmless requests that ran concurrently with the one that
-// crashed the upstream. Suspects therefore run one at a time across all instances:
-// each needs a unit of the pkg/quota resource Resource(pool), which has a limit
-// of 1. This keeps a harmless suspect from being cut a second time by the same
-// crashing request. One successful response clears all earlier losses of a
-// fingerprint.
+// crashed the upstream. Two mechanisms keep a harmless suspect from being cut again by the same
+// crashing request. Where pkg/quota is available, suspects run one at a time across all instances:
+// each needs a unit of the resource Resource(pool), which has a limit of 1. Elsewhere each
+// suspect is confined to few upstreams of its pool, which all instances derive from its
+// fingerprint; two suspects mostly have different ones, and all copies of one have the same. One
+// successful response clears all earlier losses of a fingerprint.
 //
 // A refusal expires. The fingerprint is then a suspect with one loss, so one more
 // loss refuses it again, for twice as long.
 //
 // Instances exchange losses and successful responses in small reports, which are
-// sent only to instances in the home regions of the request.
+// sent only to instances in the home regions of the request. A report that could not be
+// delivered is followed by all that the sender knows, once the receiver answers. Where not
+// every instance knows all others, those in the middle forward what is new to them. The
+// refusals in force can be kept in a store, for instances that restart; see Service.Refusals.
 package quarantine
 
 import (
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"hash"
 	"sync"
 	"time"
@@ -41,13 +47,20 @@
 type Settings struct {
 	// Key is the key of the fingerprint hashes: at least 16 bytes, the same on all instances.
 	Key string `json:"key"`
-	// CutWindow is the period within which two or more cut requests count as the loss of the upstream. Default 100ms.
+	// CutWindow is the period within which two or more cut requests count as the loss of the upstream. 0 turns
+	// this off: resets of the connections of a live upstream cut requests, too. Default 100ms.
 	CutWindow table.Duration `json:"cut_window"`
 	// ConfirmWindow is the period within which a refused connection or a new start ID
 	// confirms that a single cut request was the loss of the upstream. Default 2s.
 	ConfirmWindow table.Duration `json:"confirm_window"`
 	// Together is the period within which losses in one failure domain count once. Default 1s.
 	Together table.Duration `json:"together"`
+	// MinLosses is the number of successive losses after which a fingerprint is refused. Default 2.
+	MinLosses int `json:"min_losses"`
+	// RestartTime is the period within which two losses of one upstream are the same loss. Default 10m.
+	RestartTime table.Duration `json:"restart_time"`
+	// Confine is the number of upstreams of a pool that a suspect is sent to. 0 turns this off. Default 0.
+	Confine int `json:"confine"`
 	// SuspectTime is how long a loss is remembered. Default 10m.
 	SuspectTime table.Duration `json:"suspect_time"`
 	// RefuseTime is the duration of the first refusal; each further refusal lasts twice as long. Default 10m.
@@ -62,7 +75,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		CutWindow: table.Duration(100 * time.Millisecond), ConfirmWindow: table.Duration(2 * time.Second),
-		Together: table.Duration(time.Second), SuspectTime: table.Duration(10 * time.Minute),
+		Together: table.Duration(time.Second), MinLosses: 2, RestartTime: table.Duration(10 * time.Minute), SuspectTime: table.Duration(10 * time.Minute),
 		RefuseTime: table.Duration(10 * time.Minute), MaxRefuseTime: table.Duration(24 * time.Hour),
 		MaxFingerprints: 4096,
 	}
@@ -77,9 +90,12 @@
 	if len(s.Key) < minKey {
 		p.Add(path+".key", "is shorter than 16 bytes", "give all instances the same random key")
 	}
-	if s.CutWindow <= 0 || s.ConfirmWindow < s.CutWindow || s.Together < 0 {
+	if s.CutWindow < 0 || s.ConfirmWindow <= 0 || s.ConfirmWindow < s.CutWindow || s.Together < 0 {
 		p.Add(path, "cut_window, confirm_window or together is out of range", "use for example 100ms, 2s and 1s")
 	}
+	if s.MinLosses < 1 || s.MinLosses > maxLosses || s.RestartTime <= 0 || s.Confine < 0 {
+		p.Add(path, "min_losses, restart_time or confine is out of range", "use for example 2, 10m and 0")
+	}
 	if s.SuspectTime <= 0 || s.RefuseTime <= 0 || s.MaxRefuseTime < s.RefuseTime {
 		p.Add(path, "suspect_time, refuse_time or max_refuse_time is out of range", "use for example 10m, 10m and 24h")
 	}
@@ -92,6 +108,9 @@
 // Fingerprint is the keyed hash of a request.
 type Fingerprint [16]byte
 
+// Short returns the start of the fingerprint, for logs.
+func (f Fingerprint) Short() string { return hex.EncodeToString(f[:4]) }
+
 // Request holds the parts of a request that the fingerprint covers. They are equal when the caller repeats the request.
 type Request struct {
 	Method string
@@ -163,5 +182,11 @@
 	// Upstream and Domain are keyed hashes of the upstream and its failure domain.
 	Upstream uint64
 	Domain   uint64
-	At       time.Time
+	// At is when the request was cut.
+	At time.Time
+	// Began is when the request began to run, or zero if that is not known.
+	Began time.Time
 }
+
+// follows reports whether the request may have begun to run only after the earlier loss.
+func (l Loss) follows(earlier Loss) bool { return l.Began.IsZero() || l.Began.After(earlier.At) }
--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -1,9 +1,9 @@
 package quarantine
 
 import (
-	"bytes"
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -26,8 +26,8 @@
 	stepInterval = time.Second
 	// sendTimeout bounds one attempt to send a report.
 	sendTimeout = time.Second
-	// maxAttempts is the number of failed attempts after which a report is dropped.
-	maxAttempts = 3
+	// lostTime is how long a lost upstream is not among those that a suspect is confined to.
+	lostTime = 5 * time.Second
 	// maxItems bounds the items of a report and the queue of unsent events.
 	maxItems = 1024
 	// syncSenders is the number of instances that send the current losses and refusals to a new instance.
@@ -46,16 +46,30 @@
 	Transport peer.Transport
 	// InstancesIn returns the other instances in the given regions, or all others if the list is empty.
 	InstancesIn func(regions []string) []peer.InstanceID
-	Settings    Settings
-	Log         logr.Logger
+	// Forward is set if InstancesIn does not return every other instance. What is new to this instance is then
+	// passed on, and each instance that appears is told all that this one knows.
+	Forward bool
+	// Appeared, if it is set, receives a value when InstancesIn returns an instance that it did not return before, so
+	// that this one is told at once what is known.
+	Appeared <-chan struct{}
+	Settings Settings
+	Log      logr.Logger
 }
 
-// event is a loss or a successful response to be sent to the instances in the home regions.
+// event is a loss, a successful response or a refusal to be sent to the instances in the home regions.
 type event struct {
-	f           Fingerprint
-	loss        Loss
-	cleared     bool
-	homeRegions []string
+	f            Fingerprint
+	loss         Loss
+	cleared      bool
+	refusedUntil time.Time
+	homeRegions  []string
+	from         peer.InstanceID // the instance that reported it, if another one did
+}
+
+// contact is what this instance has told another one.
+type contact struct {
+	informed bool // of all that this instance knew
+	calling  bool
 }
 
 // Service holds the table of this instance and exchanges events with other instances.
@@ -64,12 +78,14 @@
 	hasher      *Hasher
 	recordCount atomic.Int64
 	events      chan event
+	changed     chan struct{}
 	calls       sync.WaitGroup
 
-	mu             sync.RWMutex
-	table          *Table
-	watchers       map[Upstream]*Watcher
-	knownInstances map[peer.InstanceID]bool
+	mu       sync.RWMutex
+	table    *Table
+	watchers map[Upstream]*Watcher
+	lost     map[uint64]time.Time // lost upstreams, by hash
+	contacts map[peer.InstanceID]*contact
 }
 
 // NewService returns a service and registers its handler on the transport.
@@ -82,10 +98,12 @@
 		return nil, err
 	}
 	s := &Service{
-		Config: c, hasher: hasher, events: make(chan event, maxItems),
-		table: NewTable(c.Settings), watchers: make(map[Upstream]*Watcher),
+		Config: c, hasher: hasher, events: make(chan event, maxItems), changed: make(chan struct{}, 1),
+		table: NewTable(c.Settings), watchers: make(map[Upstream]*Watcher), lost: make(map[uint64]time.Time), contacts: make(map[peer.InstanceID]*contact),
+	}
+	if c.Transport != nil {
+		c.Transport.Handle(ServiceReport, s.handle)
 	}
-	c.Transport.Handle(ServiceReport, s.handle)
 	return s, nil
 }
 
@@ -117,19 +135,98 @@
 	return lost
 }
 
+// Confine returns those of the upstreams to which a suspect is not sent: it is confined to Settings.Confine of the
+// others, the same at all instances that know the same upstreams. Without such a setting it returns none.
+func (s *Service) Confine(r Request, among []Upstream) (others []Upstream) {
+	if s.Settings.Confine == 0 {
+		return nil
+	}
+	f := s.hasher.Fingerprint(r)
+	type candidate struct {
+		Upstream
+		lost bool
+		rank uint64
+	}
+	now := time.Now()
+	candidates := make([]candidate, len(among))
+	s.mu.RLock()
+	for i, u := range among {
+		h := s.upstreamHash(u)
+		candidates[i] = candidate{u, s.table.hasLossOf(f, h) || now.Sub(s.lost[h]) < lostTime, s.hasher.hash64("rank", string(f[:]), u.ID)}
+	}
+	s.mu.RUnlock()
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.lost != b.lost {
+			return cmp.Compare(boolToInt(a.lost), boolToInt(b.lost))
+		}
+		return cmp.Compare(a.rank, b.rank)
+	})
+	for _, c := range candidates[min(s.Settings.Confine, len(candidates)):] {
+		others = append(others, c.Upstream)
+	}
+	return others
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// RefusedUntil returns until when a request is refused, or a time in the past.
+func (s *Service) RefusedUntil(r Request) time.Time {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.table.RefusedUntil(s.hasher.Fingerprint(r))
+}
+
+// Refusals returns the refusals in force.
+func (s *Service) Refusals(now time.Time) map[Fingerprint]time.Time {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.table.Refusals(now)
+}
+
+// AddRefusals records refusals that were kept elsewhere.
+func (s *Service) AddRefusals(now time.Time, refused map[Fingerprint]time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f, until := range refused {
+		if until.After(now) && s.table.RecordRefusal(now, f, until.Sub(now), nil) {
+			s.Log.Info("request refused, as recorded", "fingerprint", f.Short(), "until", until)
+			s.forward(event{f: f, refusedUntil: until})
+		}
+	}
+	s.update()
+}
+
+// Changed returns a channel that receives a value after the refusals may have changed.
+func (s *Service) Changed() <-chan struct{} { return s.changed }
+
+// update publishes changes of the table. The caller holds mu.
+func (s *Service) update() {
+	s.recordCount.Store(int64(s.table.Len()))
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Refusal returns the error for a request with the verdict Refuse.
 func Refusal() error {
-	return fault.New(fault.Refused, "two upstreams were lost while they ran this request", "do not repeat the request; report it to the operators of the service")
+	return fault.New(fault.Refused, "several upstreams were lost while they ran this request", "do not repeat the request; report it to the operators of the service")
 }
 
-// RecordOutcome records how a request at an upstream ended. home holds the home regions of its route.
-func (s *Service) RecordOutcome(now time.Time, u Upstream, r Request, end Outcome, home []string) {
+// RecordOutcome records how a request that began to run at an upstream at the given time has ended. home holds the
+// home regions of its route.
+func (s *Service) RecordOutcome(now, began time.Time, u Upstream, r Request, end Outcome, home []string) {
 	switch end {
 	case Completed:
 		s.recordSuccess(now, r, home)
 	case Cut:
 		f := s.hasher.Fingerprint(r)
-		s.watch(now, u, func(w *Watcher) []Suspect { return w.RecordCut(now, f, home) })
+		s.watch(now, u, func(w *Watcher) []Suspect { return w.RecordCut(now, began, f, home) })
 	}
 }
 
@@ -140,8 +237,9 @@
 	f := s.hasher.Fingerprint(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.table.Known(f) && s.table.RecordSuccess(now, f, now) {
+	if s.table.Known(f) && s.table.RecordSuccess(now, f, now, home) {
 		s.enqueue(event{f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
+		s.update()
 	}
 }
 
@@ -168,22 +266,39 @@
 	w := s.watchers[u]
 	if w == nil {
 		w = NewWatcher(s.Settings)
+		w.hash = s.upstreamHash(u)
 		s.watchers[u] = w
 	}
 	s.recordLoss(now, u, observe(w))
-	s.recordCount.Store(int64(s.table.Len()))
+	s.update()
 }
 
 // recordLoss records the loss of an upstream against the requests that it cut. The caller holds mu.
 func (s *Service) recordLoss(now time.Time, u Upstream, suspects []Suspect) {
-	loss := Loss{Upstream: s.upstreamHash(u), Domain: s.hasher.hash64("domain", u.FailureDomain, ""), At: now}
+	if len(suspects) == 0 {
+		return
+	}
+	loss := Loss{Upstream: s.watchers[u].hash, Domain: s.hasher.hash64("domain", u.FailureDomain, "")}
+	s.lost[loss.Upstream] = now
 	for _, suspect := range suspects {
-		if s.table.RecordLoss(now, suspect.Fingerprint, loss, suspect.Home) {
+		loss.At, loss.Began = suspect.CutAt, suspect.Began
+		s.Log.Info("request cut by the loss of an upstream", "fingerprint", suspect.Fingerprint.Short(), "upstream", u.ID, "ran", suspect.CutAt.Sub(suspect.Began).String())
+		if s.countLoss(now, suspect.Fingerprint, loss, suspect.Home) {
 			s.enqueue(event{f: suspect.Fingerprint, loss: loss, homeRegions: suspect.Home})
 		}
 	}
 }
 
+// countLoss counts a loss against a fingerprint and reports whether it is news. The caller holds mu.
+func (s *Service) countLoss(now time.Time, f Fingerprint, l Loss, home []string) bool {
+	before := s.table.Admit(now, f)
+	news := s.table.RecordLoss(now, f, l, home)
+	if before != Refuse && s.table.Admit(now, f) == Refuse {
+		s.Log.Info("request refused from now on", "fingerprint", f.Short(), "losses", len(s.table.records[f].losses), "until", s.table.RefusedUntil(f))
+	}
+	return news
+}
+
 func (s *Service) upstreamHash(u Upstream) uint64 { return s.hasher.hash64("upstream", u.Pool, u.ID) }
 
 // confirmRemoteLoss turns the cut requests of this instance into suspects when
@@ -191,21 +306,32 @@
 // single cut request would be dropped as a connection fault. The caller holds mu.
 func (s *Service) confirmRemoteLoss(now time.Time, loss Loss) {
 	for u, w := range s.watchers {
-		if s.upstreamHash(u) == loss.Upstream {
+		if w.hash == loss.Upstream {
 			s.recordLoss(now, u, w.RecordRemoteLoss(now, loss.At))
 		}
 	}
 }
 
+// enqueue queues an event for the other instances. If the queue is full, they are told all that is known instead. The
+// caller holds mu.
 func (s *Service) enqueue(e event) {
 	select {
 	case s.events <- e:
 	default:
-		s.Log.Info("quarantine event queue is full; dropped an event")
+		for _, c := range s.contacts {
+			c.informed = false
+		}
 	}
 }
 
-func (s *Service) handle(_ context.Context, _ peer.InstanceID, data []byte) (proto.Message, error) {
+// forward passes on what is new to this instance. The caller holds mu.
+func (s *Service) forward(e event) {
+	if s.Forward {
+		s.enqueue(e)
+	}
+}
+
+func (s *Service) handle(_ context.Context, from peer.InstanceID, data []byte) (proto.Message, error) {
 	var report peerpb.QuarantineReport
 	if err := proto.Unmarshal(data, &report); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "the quarantine report cannot be decoded", "check the release of the calling instance")
@@ -219,18 +345,35 @@
 		}
 		f := Fingerprint(item.GetFingerprint())
 		at := now.Add(-time.Duration(item.GetAgeMillis()) * time.Millisecond)
+		e := event{f: f, homeRegions: item.GetHomeRegions(), from: from}
 		switch {
 		case item.GetCleared():
-			s.table.RecordSuccess(now, f, at)
+			e.cleared, e.loss.At = true, at
+			if s.table.RecordSuccess(now, f, at, item.GetHomeRegions()) {
+				s.forward(e)
+			}
 		case item.GetRefusedMillis() > 0:
-			s.table.RecordRefusal(now, f, time.Duration(item.GetRefusedMillis())*time.Millisecond, item.GetHomeRegions())
+			rest := time.Duration(item.GetRefusedMillis()) * time.Millisecond
+			e.refusedUntil = now.Add(rest)
+			if s.table.RecordRefusal(now, f, rest, item.GetHomeRegions()) {
+				s.Log.Info("request refused, as another instance reported", "fingerprint", f.Short(), "instance", from)
+				s.forward(e)
+			}
 		default:
-			loss := Loss{item.GetUpstream(), item.GetDomain(), at}
-			s.table.RecordLoss(now, f, loss, item.GetHomeRegions())
-			s.confirmRemoteLoss(now, loss)
+			e.loss = Loss{Upstream: item.GetUpstream(), Domain: item.GetDomain(), At: at}
+			if ran := item.GetRanMillis(); ran > 0 {
+				e.loss.Began = at.Add(-time.Duration(ran) * time.Millisecond)
+			}
+			if now.Sub(at) < lostTime {
+				s.lost[e.loss.Upstream] = at
+			}
+			if s.countLoss(now, f, e.loss, item.GetHomeRegions()) {
+				s.forward(e)
+			}
+			s.confirmRemoteLoss(now, e.loss)
 		}
 	}
-	s.recordCount.Store(int64(s.table.Len()))
+	s.update()
 	return &peerpb.LimitsAck{}, nil
 }
 
@@ -247,7 +390,9 @@
 			s.sendAll(ctx, s.drain(e))
 		case now := <-ticker.C:
 			s.expire(now)
-			s.syncNewInstances(ctx)
+			s.informContacts(ctx)
+		case <-s.Appeared:
+			s.informContacts(ctx)
 		}
 	}
 }
@@ -256,7 +401,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(now)
-	s.recordCount.Store(int64(s.table.Len()))
+	maps.DeleteFunc(s.watchers, func(_ Upstream, w *Watcher) bool { return w.idle(now) })
+	maps.DeleteFunc(s.lost, func(_ uint64, at time.Time) bool { return now.Sub(at) > lostTime })
+	s.update()
 }
 
 // drain collects all queued events, so that the events of one loss are sent in one report.
@@ -279,55 +426,88 @@
 	batches := make(map[peer.InstanceID][]*peerpb.QuarantineItem)
 	for _, e := range events {
 		for _, to := range s.InstancesIn(e.homeRegions) {
-			if to != s.Transport.Self() {
+			if to != s.Transport.Self() && to != e.from {
 				batches[to] = append(batches[to], newItem(now, e))
 			}
 		}
 	}
 	for to, items := range batches {
-		s.send(ctx, to, items)
+		s.send(ctx, to, items, false)
 	}
 }
 
 func newItem(now time.Time, e event) *peerpb.QuarantineItem {
-	return &peerpb.QuarantineItem{
-		Fingerprint: e.f[:], Upstream: e.loss.Upstream, Domain: e.loss.Domain, Cleared: e.cleared,
-		AgeMillis: uint32(max(0, now.Sub(e.loss.At)/time.Millisecond)), HomeRegions: e.homeRegions,
+	item := &peerpb.QuarantineItem{Fingerprint: e.f[:], HomeRegions: e.homeRegions}
+	if !e.refusedUntil.IsZero() {
+		item.RefusedMillis = millis(e.refusedUntil.Sub(now))
+		return item
+	}
+	item.Upstream, item.Domain, item.Cleared, item.AgeMillis = e.loss.Upstream, e.loss.Domain, e.cleared, millis(now.Sub(e.loss.At))
+	if !e.loss.Began.IsZero() {
+		item.RanMillis = max(millis(e.loss.At.Sub(e.loss.Began)), 1)
 	}
+	return item
 }
 
-func (s *Service) send(ctx context.Context, to peer.InstanceID, items []*peerpb.QuarantineItem) {
-	s.calls.Add(1)
-	go func() {
-		defer s.calls.Done()
-		for range maxAttempts {
+func millis(d time.Duration) uint32 { return uint32(min(max(0, d/time.Millisecond), math.MaxUint32)) }
+
+// send sends items to another instance; all tells that they are all that this one knows. If the call fails, the next
+// one sends everything.
+func (s *Service) send(ctx context.Context, to peer.InstanceID, items []*peerpb.QuarantineItem, all bool) {
+	s.calls.Go(func() {
+		var err error
+		for chunk := range slices.Chunk(items, maxItems) {
 			callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
-			err := s.Transport.Call(callCtx, to, ServiceReport, &peerpb.QuarantineReport{Items: items}, &peerpb.LimitsAck{})
+			err = s.Transport.Call(callCtx, to, ServiceReport, &peerpb.QuarantineReport{Items: chunk}, &peerpb.LimitsAck{})
 			cancel()
-			if err == nil || ctx.Err() != nil {
-				return
+			if err != nil {
+				break
 			}
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c := s.contacts[to]
+		if c == nil && err != nil {
+			c = &contact{}
+			s.contacts[to] = c
+		}
+		if c != nil && all {
+			c.calling = false
+		}
+		if err != nil {
+			c.informed = false
 			s.Log.V(1).Info("failed to send a quarantine report", "instance", to, "error", err.Error())
 		}
-	}()
+	})
 }
 
-// syncNewInstances sends the losses and refusals to instances that have joined since
-// the last call. For each new instance, two of the others, chosen by hash, do so.
-func (s *Service) syncNewInstances(ctx context.Context) {
-	present := s.InstancesIn(nil)
-	before := s.knownInstances
-	s.knownInstances = make(map[peer.InstanceID]bool, len(present))
-	for _, id := range present {
-		s.knownInstances[id] = true
+// informContacts sends all that is known to instances that lack a report, and to new ones. Unless reports are forwarded,
+// two instances, chosen by hash, do so for a new one.
+func (s *Service) informContacts(ctx context.Context) {
+	if s.Transport == nil {
+		return
 	}
+	present := s.InstancesIn(nil)
+	s.mu.Lock()
+	maps.DeleteFunc(s.contacts, func(id peer.InstanceID, _ *contact) bool { return !slices.Contains(present, id) })
+	var uninformed []peer.InstanceID
 	for _, id := range present {
-		if before == nil || before[id] || id == s.Transport.Self() || !s.isSyncSender(id, present) {
+		if id == s.Transport.Self() {
 			continue
 		}
-		if items := s.itemsFor(id); len(items) > 0 {
-			s.send(ctx, id, items)
+		c := s.contacts[id]
+		if c == nil {
+			c = &contact{informed: !s.Forward && !s.isSyncSender(id, present)}
+			s.contacts[id] = c
 		}
+		if !c.informed && !c.calling {
+			c.informed, c.calling = true, true
+			uninformed = append(uninformed, id)
+		}
+	}
+	s.mu.Unlock()
+	for _, id := range uninformed {
+		s.send(ctx, id, s.itemsFor(id), true)
 	}
 }
 
@@ -351,14 +531,17 @@
 		if !slices.Contains(s.InstancesIn(r.homeRegions), id) {
 			continue
 		}
+		if !r.clearedAt.IsZero() {
+			items = append(items, newItem(now, event{f: f, loss: Loss{At: r.clearedAt}, cleared: true, homeRegions: r.homeRegions}))
+		}
 		for _, l := range r.losses {
-			items = append(items, newItem(now, event{f: f, loss: l, homeRegions: r.homeRegions}))
+			if l.Upstream != unknownUpstream {
+				items = append(items, newItem(now, event{f: f, loss: l, homeRegions: r.homeRegions}))
+			}
 		}
-		if rest := r.refusedUntil.Sub(now); rest > 0 {
-			items = append(items, &peerpb.QuarantineItem{
-				Fingerprint: bytes.Clone(f[:]), HomeRegions: r.homeRegions, RefusedMillis: uint32(min(rest/time.Millisecond, math.MaxUint32)),
-			})
+		if now.Before(r.refusedUntil) {
+			items = append(items, newItem(now, event{f: f, refusedUntil: r.refusedUntil, homeRegions: r.homeRegions}))
 		}
 	}
-	return items[:min(len(items), maxItems)]
+	return items
 }
--- a/pkg/quarantine/service_test.go
+++ b/pkg/quarantine/service_test.go
@@ -70,12 +70,12 @@
 		home, crashing, losses := []string{"n"}, 3, 0
 		run := func(s *Service, u, i int, concurrent ...int) {
 			if i != crashing {
-				s.RecordOutcome(time.Now(), upstream(u), path(i), Completed, home)
+				s.RecordOutcome(time.Now(), time.Time{}, upstream(u), path(i), Completed, home)
 				return
 			}
 			losses++
 			for _, j := range append(concurrent, i) {
-				s.RecordOutcome(time.Now(), upstream(u), path(j), Cut, home)
+				s.RecordOutcome(time.Now(), time.Time{}, upstream(u), path(j), Cut, home)
 			}
 			s.RecordRefusedConnection(time.Now(), upstream(u))
 		}
@@ -116,10 +116,10 @@
 			for u := range 2 {
 				a.RecordStartID(time.Now(), upstream(u), "first") // so that the upstream is known to the instance
 				steps := []func(){
-					func() { a.RecordOutcome(time.Now(), upstream(u), path(9), Cut, nil) },
+					func() { a.RecordOutcome(time.Now(), time.Time{}, upstream(u), path(9), Cut, nil) },
 					func() {
-						b.RecordOutcome(time.Now(), upstream(u), path(2*u), Cut, nil)
-						b.RecordOutcome(time.Now(), upstream(u), path(2*u+1), Cut, nil)
+						b.RecordOutcome(time.Now(), time.Time{}, upstream(u), path(2*u), Cut, nil)
+						b.RecordOutcome(time.Now(), time.Time{}, upstream(u), path(2*u+1), Cut, nil)
 					},
 				}
 				if !cutFirst {
@@ -143,7 +143,7 @@
 // Guards against panics and unbounded memory use on malformed reports from a peer.
 func FuzzQuarantineReport(f *testing.F) {
 	now := time.Now()
-	good, _ := proto.Marshal(&peerpb.QuarantineReport{Items: []*peerpb.QuarantineItem{newItem(now, event{f: fingerprint(1), loss: Loss{1, 1, now}})}})
+	good, _ := proto.Marshal(&peerpb.QuarantineReport{Items: []*peerpb.QuarantineItem{newItem(now, event{f: fingerprint(1), loss: Loss{Upstream: 1, Domain: 1, At: now}})}})
 	odd, _ := proto.Marshal(&peerpb.QuarantineReport{Items: []*peerpb.QuarantineItem{{Fingerprint: []byte{1}}, {Fingerprint: make([]byte, 16), AgeMillis: 1<<32 - 1, RefusedMillis: 1<<32 - 1}}})
 	for _, seed := range [][]byte{nil, good, odd, {0x0a, 0xff}} {
 		f.Add(seed)
@@ -170,7 +170,7 @@
 				b.Fatal(err)
 			}
 			for i := range kept {
-				s.table.RecordLoss(time.Now(), fingerprint(i), Loss{1, 1, time.Now()}, nil)
+				s.table.RecordLoss(time.Now(), fingerprint(i), Loss{Upstream: 1, Domain: 1, At: time.Now()}, nil)
 			}
 			s.recordCount.Store(int64(kept))
 			r := path(1)
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -19,8 +19,15 @@
 )
 
 // maxLosses is the maximum number of losses stored per fingerprint. It is more
-// than two, so that losses that count as one do not displace a distinct one.
-const maxLosses = 4
+// than Settings.MinLosses, so that losses that count as one do not displace a distinct one.
+const maxLosses = 16
+
+// refusalSlack is the time by which the ends of one refusal differ between instances, because of the time that
+// messages take.
+const refusalSlack = time.Second
+
+// unknownUpstream is the upstream of a loss that stands in for those at another instance. Such a loss is not reported.
+const unknownUpstream = 0
 
 type record struct {
 	losses       []Loss // sorted by time, oldest first
@@ -70,11 +77,11 @@
 	if r == nil {
 		r = t.add(now, f)
 	}
-	if !r.addLoss(l, t.settings.SuspectTime.Std()) {
+	if !r.addLoss(l, t.settings.RestartTime.Std()) {
 		return false
 	}
 	r.homeRegions = home
-	if t.distinct(r.losses) && !now.Before(r.refusedUntil) {
+	if t.crashes(r.losses) && !now.Before(r.refusedUntil) {
 		t.refuse(now, r)
 	}
 	r.extendExpiry(now.Add(t.settings.SuspectTime.Std()))
@@ -83,12 +90,15 @@
 
 // addLoss adds a loss unless one of the same upstream is recorded within the given
 // period. A loss observed by two instances must not count twice.
-func (r *record) addLoss(l Loss, memory time.Duration) bool {
+func (r *record) addLoss(l Loss, period time.Duration) bool {
 	for i, known := range r.losses {
-		if known.Upstream == l.Upstream && known.At.Sub(l.At).Abs() < memory {
+		if known.Upstream == l.Upstream && known.At.Sub(l.At).Abs() < period {
 			if l.At.After(known.At) {
 				r.losses[i].At = l.At
 			}
+			if l.Began.After(known.Began) {
+				r.losses[i].Began = l.Began
+			}
 			return false
 		}
 	}
@@ -106,18 +116,19 @@
 	}
 }
 
-// distinct reports whether two of the losses affected distinct upstreams and were
-// not part of one failure of a failure domain.
-func (t *Table) distinct(losses []Loss) bool {
-	for i, a := range losses {
-		for _, b := range losses[:i] {
-			together := a.Domain == b.Domain && a.At.Sub(b.At).Abs() <= t.settings.Together.Std()
-			if a.Upstream != b.Upstream && !together {
-				return true
-			}
+// crashes reports whether enough of the losses came one after the other, and were not part of one failure of a
+// failure domain, that the request must be their cause. The losses are sorted by time.
+func (t *Table) crashes(losses []Loss) bool {
+	counted := 0
+	var last Loss
+	for _, l := range losses {
+		together := l.Domain == last.Domain && l.At.Sub(last.At) <= t.settings.Together.Std()
+		again := l.Upstream == last.Upstream && l.Began.IsZero()
+		if counted == 0 || l.follows(last) && !again && !together {
+			counted, last = counted+1, l
 		}
 	}
-	return false
+	return counted >= t.settings.MinLosses
 }
 
 func (t *Table) refuse(now time.Time, r *record) {
@@ -140,25 +151,48 @@
 	return r != nil && slices.ContainsFunc(r.losses, func(l Loss) bool { return l.Upstream == upstream })
 }
 
-// RecordRefusal applies a refusal reported by another instance; rest is its remaining time.
-func (t *Table) RecordRefusal(now time.Time, f Fingerprint, rest time.Duration, home []string) {
+// RecordRefusal applies a refusal reported by another instance; rest is its remaining time. It returns false if the
+// request is already refused, or was served since.
+func (t *Table) RecordRefusal(now time.Time, f Fingerprint, rest time.Duration, home []string) bool {
 	r := t.records[f]
 	if r == nil {
 		r = t.add(now, f)
 		// This loss stands in for the losses at the sender, so that the fingerprint is a suspect after the refusal.
-		r.losses = []Loss{{At: now}}
+		r.losses = []Loss{{Upstream: unknownUpstream, At: now}}
 	}
 	until := now.Add(min(rest, t.settings.MaxRefuseTime.Std()))
-	if r.clearedAt.IsZero() && until.After(r.refusedUntil) {
-		r.refusedUntil, r.refusals, r.homeRegions = until, max(r.refusals, 1), home
-		r.extendExpiry(until.Add(t.settings.SuspectTime.Std()))
+	if !r.clearedAt.IsZero() || until.Sub(r.refusedUntil) < refusalSlack {
+		return false
+	}
+	refused := now.Before(r.refusedUntil)
+	r.refusedUntil, r.refusals, r.homeRegions = until, max(r.refusals, 1), home
+	r.extendExpiry(until.Add(t.settings.SuspectTime.Std()))
+	return !refused
+}
+
+// Refusals returns until when each refused fingerprint is refused.
+func (t *Table) Refusals(now time.Time) map[Fingerprint]time.Time {
+	refused := map[Fingerprint]time.Time{}
+	for f, r := range t.records {
+		if now.Before(r.refusedUntil) {
+			refused[f] = r.refusedUntil
+		}
+	}
+	return refused
+}
+
+// RefusedUntil returns until when a fingerprint is refused, or zero.
+func (t *Table) RefusedUntil(f Fingerprint) time.Time {
+	if r := t.records[f]; r != nil {
+		return r.refusedUntil
 	}
+	return time.Time{}
 }
 
 // RecordSuccess records a successful response received at the given time. It returns
 // false if there was no loss to clear. The time of the response is stored, because
 // reports of earlier losses may still arrive.
-func (t *Table) RecordSuccess(now time.Time, f Fingerprint, at time.Time) bool {
+func (t *Table) RecordSuccess(now time.Time, f Fingerprint, at time.Time, home []string) bool {
 	if at.After(now) {
 		at = now
 	}
@@ -174,8 +208,8 @@
 	}
 	before := len(r.losses)
 	r.losses = slices.DeleteFunc(r.losses, func(l Loss) bool { return !l.At.After(at) })
-	r.clearedAt = at
-	if !t.distinct(r.losses) {
+	r.clearedAt, r.homeRegions = at, home
+	if !t.crashes(r.losses) {
 		r.refusedUntil, r.refusals = time.Time{}, 0
 	}
 	r.expires = now.Add(t.settings.SuspectTime.Std())
@@ -191,7 +225,7 @@
 			delete(t.records, f)
 		case !r.refusedUntil.IsZero() && !now.Before(r.refusedUntil):
 			r.refusedUntil = time.Time{}
-			r.losses = r.losses[len(r.losses)-1:]
+			r.losses = r.losses[max(len(r.losses)-t.settings.MinLosses+1, 0):]
 		}
 	}
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -36,14 +36,14 @@
 
 // loss returns the loss of an upstream that is alone in its failure domain.
 func loss(upstream int, at time.Duration) Loss {
-	return Loss{uint64(upstream), uint64(upstream), start.Add(at)}
+	return Loss{Upstream: uint64(upstream), Domain: uint64(upstream), At: start.Add(at)}
 }
 
 // Guards against a refusal without two distinct losses, and against a missing refusal after them.
 func TestVerdicts(t *testing.T) {
 	second := time.Second
-	sameDomain := Loss{2, 1, start.Add(second / 2)}
-	laterInDomain := Loss{2, 1, start.Add(5 * second)}
+	sameDomain := Loss{Upstream: 2, Domain: 1, At: start.Add(second / 2)}
+	laterInDomain := Loss{Upstream: 2, Domain: 1, At: start.Add(5 * second)}
 	for _, c := range []struct {
 		name   string
 		losses []Loss
@@ -108,7 +108,7 @@
 			table := NewTable(settings())
 			for _, e := range order {
 				if e.upstream == 0 {
-					table.RecordSuccess(now, f, start.Add(e.at))
+					table.RecordSuccess(now, f, start.Add(e.at), nil)
 				} else {
 					table.RecordLoss(now, f, loss(e.upstream, e.at), nil)
 				}
@@ -156,20 +156,20 @@
 	f, g := fingerprint(1), fingerprint(2)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	w := NewWatcher(settings())
-	is.Equal(len(w.RecordCut(at(0), f, nil)), 0)
-	is.Equal(len(w.RecordCut(at(50), g, nil)), 2) // two cuts within the cut window
-	is.Equal(len(w.RecordCut(at(60), f, nil)), 1) // a late cut of the same loss
+	is.Equal(len(w.RecordCut(at(0), time.Time{}, f, nil)), 0)
+	is.Equal(len(w.RecordCut(at(50), time.Time{}, g, nil)), 2) // two cuts within the cut window
+	is.Equal(len(w.RecordCut(at(60), time.Time{}, f, nil)), 1) // a late cut of the same loss
 	w = NewWatcher(settings())
-	is.Equal(len(w.RecordCut(at(0), f, nil)), 0)
-	is.Equal(len(w.RecordCut(at(500), g, nil)), 0)
+	is.Equal(len(w.RecordCut(at(0), time.Time{}, f, nil)), 0)
+	is.Equal(len(w.RecordCut(at(500), time.Time{}, g, nil)), 0)
 	is.Equal(len(w.RecordRefusedConnection(at(600))), 2)
 	w = NewWatcher(settings())
 	is.Equal(len(w.RecordStartID(at(0), "s1")), 0)
-	w.RecordCut(at(100), f, nil)
+	w.RecordCut(at(100), time.Time{}, f, nil)
 	is.Equal(len(w.RecordStartID(at(200), "s1")), 0)
 	is.Equal(len(w.RecordStartID(at(300), "s2")), 1)
-	is.Equal(len(w.RecordCut(at(400), g, nil)), 1) // cut by the same restart
-	w.RecordCut(at(3000), f, nil)
+	is.Equal(len(w.RecordCut(at(400), time.Time{}, g, nil)), 1) // cut by the same restart
+	w.RecordCut(at(3000), time.Time{}, f, nil)
 	is.Equal(len(w.RecordRefusedConnection(at(6000))), 0) // after the confirm window
 }
 
--- a/pkg/quarantine/watcher.go
+++ b/pkg/quarantine/watcher.go
@@ -21,22 +21,19 @@
 // maxCuts is the maximum number of cut requests stored for one upstream.
 const maxCuts = 256
 
-type cutRequest struct {
-	f           Fingerprint
-	homeRegions []string
-	at          time.Time
-}
-
 // Suspect is a request that was cut when its upstream was lost.
 type Suspect struct {
 	Fingerprint Fingerprint
 	Home        []string
+	Began       time.Time
+	CutAt       time.Time
 }
 
 // Watcher is the state machine that detects the loss of one upstream.
 type Watcher struct {
 	settings Settings
-	cuts     []cutRequest // not yet reported as suspects, oldest first
+	hash     uint64    // of the upstream
+	cuts     []Suspect // not yet reported as suspects, oldest first
 	lostAt   time.Time
 	startID  string
 }
@@ -44,19 +41,22 @@
 // NewWatcher returns a watcher for one upstream.
 func NewWatcher(s Settings) *Watcher { return &Watcher{settings: s} }
 
-// RecordCut records that a request was cut. It returns the suspects if the cut
+// RecordCut records that a request that began to run at the given time was cut. It returns the suspects if the cut
 // indicates the loss of the upstream or follows a loss within the confirm window.
-func (w *Watcher) RecordCut(now time.Time, f Fingerprint, home []string) []Suspect {
+func (w *Watcher) RecordCut(now, began time.Time, f Fingerprint, home []string) []Suspect {
 	w.dropExpired(now)
 	if len(w.cuts) < maxCuts {
-		w.cuts = append(w.cuts, cutRequest{f, home, now})
+		w.cuts = append(w.cuts, Suspect{f, home, began, now})
 	}
 	if !w.lostAt.IsZero() && now.Sub(w.lostAt) <= w.settings.ConfirmWindow.Std() {
 		return w.takeSuspects()
 	}
+	if w.settings.CutWindow == 0 {
+		return nil
+	}
 	recent := 0
 	for _, c := range w.cuts {
-		if now.Sub(c.at) <= w.settings.CutWindow.Std() {
+		if now.Sub(c.CutAt) <= w.settings.CutWindow.Std() {
 			recent++
 		}
 	}
@@ -111,18 +111,21 @@
 }
 
 func (w *Watcher) takeSuspects() []Suspect {
-	suspects := make([]Suspect, 0, len(w.cuts))
-	for _, c := range w.cuts {
-		suspects = append(suspects, Suspect{c.f, c.homeRegions})
-	}
+	suspects := w.cuts
 	w.cuts = nil
 	return suspects
 }
 
+// idle reports whether the watcher holds nothing that a new one would lack.
+func (w *Watcher) idle(now time.Time) bool {
+	w.dropExpired(now)
+	return len(w.cuts) == 0 && w.startID == "" && now.Sub(w.lostAt) > w.settings.ConfirmWindow.Std()
+}
+
 // dropExpired removes cut requests that were not confirmed within the confirm window.
 func (w *Watcher) dropExpired(now time.Time) {
 	old := 0
-	for old < len(w.cuts) && now.Sub(w.cuts[old].at) > w.settings.ConfirmWindow.Std() {
+	for old < len(w.cuts) && now.Sub(w.cuts[old].CutAt) > w.settings.ConfirmWindow.Std() {
 		old++
 	}
 	w.cuts = w.cuts[old:]
