quarantine: count losses that came together, and those that another request explains, for what they are

Change: (1) a loss that is older than a dropped one is no news; (2) three losses, two of them successive, are enough, and with three that are not about one copy runs at a time over all instances; (3) losses that a request with more of them has caused are not counted against others, and refusals are passed on without their losses only after 0.5 s.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -26,6 +27,8 @@
 	refusalsInterval = 500 * time.Millisecond
 	// refusalsTimeout bounds a write.
 	refusalsTimeout = time.Second
+	// sampleInterval is the time after which a request comes back that was not picked as a sample.
+	sampleInterval = 500 * time.Millisecond
 )
 
 // quarantineSettings returns the settings of the quarantine on the platform, where no quota makes suspects run one at a
@@ -45,12 +48,13 @@
 // the readers of the regions, which also keep the refusals in the store.
 type quarantineService struct {
 	*quarantine.Service
-	cfg      settings.Settings
-	log      logr.Logger
-	followed *followService
-	checks   quarantine.Checks
-	seen     map[string][]byte // the shared values that were read, by region
-	written  time.Time
+	cfg       settings.Settings
+	log       logr.Logger
+	followed  *followService
+	checks    quarantine.Checks
+	instances func() int
+	seen      map[string][]byte // the shared values that were read, by region
+	written   time.Time
 }
 
 var (
@@ -68,6 +72,7 @@
 	if s.followed, err = kernel.Lookup[*followService](k, ControlFollow); err != nil {
 		return err
 	}
+	s.instances = instanceCount(s.followed.Instances, s.cfg.Limits.MaxInstances)
 	c := quarantine.Config{
 		InstancesIn: func([]string) []peer.InstanceID { return s.followed.Contacts() },
 		Forward:     true, Appeared: s.followed.ContactAppeared(), Settings: quarantineSettings(s.cfg.QuarantineKey), Log: s.log,
@@ -203,6 +208,10 @@
 		return entry.Admission{RetryAfter: time.Until(s.RefusedUntil(r))}, false
 	case quarantine.Run:
 		return entry.Admission{Done: func() {}}, true
+	case quarantine.Sample:
+		if rand.IntN(s.instances()) > 0 {
+			return entry.Admission{RetryAfter: sampleInterval}, false
+		}
 	}
 	return entry.Admission{Done: func() {}, Avoid: s.avoid(r, route), Suspect: true}, true
 }
--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -539,7 +539,7 @@
 				items = append(items, newItem(now, event{f: f, loss: l, homeRegions: r.homeRegions}))
 			}
 		}
-		if now.Before(r.refusedUntil) {
+		if r.settled(now) {
 			items = append(items, newItem(now, event{f: f, refusedUntil: r.refusedUntil, homeRegions: r.homeRegions}))
 		}
 	}
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +17,9 @@
 	Serialize
 	// Refuse means that the request must not run.
 	Refuse
+	// Sample means that enough upstreams were lost, but at the same time, so that another cause is as likely. Of all
+	// instances together about one request at a time may run, as a suspect; its end decides.
+	Sample
 )
 
 // maxLosses is the maximum number of losses stored per fingerprint. It is more
@@ -30,10 +34,13 @@
 const unknownUpstream = 0
 
 type record struct {
-	losses       []Loss // sorted by time, oldest first
+	losses       []Loss    // sorted by time, oldest first
+	droppedAt    time.Time // of the latest loss that had no room: a loss that was dropped is no news when it comes again
 	clearedAt    time.Time
+	refusedAt    time.Time
 	refusedUntil time.Time
 	refusals     int
+	reported     bool // the refusal was learned from another instance
 	homeRegions  []string
 	expires      time.Time
 }
@@ -60,6 +67,8 @@
 		return Run
 	case now.Before(r.refusedUntil):
 		return Refuse
+	case t.settings.Confine > 0 && len(r.losses) >= t.settings.MinLosses && !t.crashes(r.losses):
+		return Sample
 	}
 	return Serialize
 }
@@ -81,8 +90,8 @@
 		return false
 	}
 	r.homeRegions = home
-	if t.crashes(r.losses) && !now.Before(r.refusedUntil) {
-		t.refuse(now, r)
+	if t.crashes(r.losses) {
+		t.judge(now)
 	}
 	r.extendExpiry(now.Add(t.settings.SuspectTime.Std()))
 	return true
@@ -102,12 +111,16 @@
 			return false
 		}
 	}
+	if !l.At.After(r.droppedAt) {
+		return false
+	}
 	r.losses = append(r.losses, l)
 	slices.SortFunc(r.losses, func(a, b Loss) int { return a.At.Compare(b.At) })
 	if len(r.losses) > maxLosses {
+		r.droppedAt = r.losses[0].At
 		r.losses = r.losses[1:]
 	}
-	return true
+	return r.droppedAt.Before(l.At)
 }
 
 func (r *record) extendExpiry(until time.Time) {
@@ -116,9 +129,15 @@
 	}
 }
 
-// crashes reports whether enough of the losses came one after the other, and were not part of one failure of a
-// failure domain, that the request must be their cause. The losses are sorted by time.
+// minSuccessive is the number of losses that must come one after the other.
+const minSuccessive = 2
+
+// crashes reports whether there are so many losses that the request must be their cause: Settings.MinLosses, some of
+// which came one after the other and were not part of one failure of a failure domain. The losses are sorted by time.
 func (t *Table) crashes(losses []Loss) bool {
+	if len(losses) < t.settings.MinLosses {
+		return false
+	}
 	counted := 0
 	var last Loss
 	for _, l := range losses {
@@ -128,7 +147,42 @@
 			counted, last = counted+1, l
 		}
 	}
-	return counted >= t.settings.MinLosses
+	return counted >= min(t.settings.MinLosses, minSuccessive)
+}
+
+// judge refuses the fingerprints that must have caused the losses recorded for them. The fingerprint with the most losses
+// comes first, and losses of an upstream that it has caused are not counted against those with fewer: a harmless
+// request is at times cut by the same crashing request again and again.
+func (t *Table) judge(now time.Time) {
+	var suspects []*record
+	for _, r := range t.records {
+		if t.crashes(r.losses) {
+			suspects = append(suspects, r)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b *record) int { return cmp.Compare(len(b.losses), len(a.losses)) })
+	explained, most := map[uint64]bool{}, 0
+	var next []Loss
+	for _, r := range suspects {
+		if len(r.losses) != most {
+			for _, l := range next {
+				explained[l.Upstream] = true
+			}
+			most, next = len(r.losses), nil
+		}
+		rest := slices.DeleteFunc(slices.Clone(r.losses), func(l Loss) bool { return explained[l.Upstream] })
+		refused := now.Before(r.refusedUntil)
+		switch {
+		case t.crashes(rest):
+			next = append(next, r.losses...)
+			if !refused {
+				t.refuse(now, r)
+			}
+		case refused && !r.reported:
+			r.refusedUntil = time.Time{}
+			r.refusals--
+		}
+	}
 }
 
 func (t *Table) refuse(now time.Time, r *record) {
@@ -137,7 +191,7 @@
 		span = min(2*span, t.settings.MaxRefuseTime.Std())
 	}
 	r.refusals++
-	r.refusedUntil = now.Add(span)
+	r.refusedAt, r.refusedUntil, r.reported = now, now.Add(span), false
 	// After the refusal, the fingerprint stays a suspect for as long as after a loss.
 	r.extendExpiry(r.refusedUntil.Add(t.settings.SuspectTime.Std()))
 }
@@ -165,16 +219,27 @@
 		return false
 	}
 	refused := now.Before(r.refusedUntil)
+	if !refused {
+		r.refusedAt, r.reported = now, true
+	}
 	r.refusedUntil, r.refusals, r.homeRegions = until, max(r.refusals, 1), home
 	r.extendExpiry(until.Add(t.settings.SuspectTime.Std()))
 	return !refused
 }
 
+// settleTime is how long a refusal must be in force before others may rely on it without the losses that led to it.
+const settleTime = 500 * time.Millisecond
+
+// settled reports whether a refusal is in force that may be passed on.
+func (r *record) settled(now time.Time) bool {
+	return now.Before(r.refusedUntil) && now.Sub(r.refusedAt) >= settleTime
+}
+
 // Refusals returns until when each refused fingerprint is refused.
 func (t *Table) Refusals(now time.Time) map[Fingerprint]time.Time {
 	refused := map[Fingerprint]time.Time{}
 	for f, r := range t.records {
-		if now.Before(r.refusedUntil) {
+		if r.settled(now) {
 			refused[f] = r.refusedUntil
 		}
 	}
