entry: recognise crashing requests whose bodies are not read before they are sent

A request whose body comes in chunks, or is longer than what is kept, had no fingerprint.

Change: when such a request loses its upstream, its fingerprint is made of what was sent, and a second one without the body tells all instances to read the body of further requests that differ in nothing else before they send them. It is never refused itself.

--- a/internal/daemon/attempts.go
+++ b/internal/daemon/attempts.go
@@ -156,6 +156,13 @@
 	return ids
 }
 
+// Suspected implements entry.Quarantine.
+func (s *quarantineService) Suspected(route *table.Route, f entry.Fingerprint) bool {
+	r := s.request(route, f)
+	r.WithoutBody = true
+	return s.Service.Admit(time.Now(), r) != quarantine.Run
+}
+
 // Ended implements entry.Quarantine.
 func (s *quarantineService) Ended(route *table.Route, f entry.Fingerprint, e entry.RunEnd) {
 	end, u := quarantine.Completed, e.Upstream
@@ -163,7 +170,9 @@
 		end = quarantine.Cut
 	}
 	at := quarantine.Upstream{Pool: route.Pool, ID: u.ID, FailureDomain: u.FailureDomain}
-	s.Service.RecordOutcome(time.Now(), e.Began, at, s.request(route, f), end, route.HomeRegions)
+	r := s.request(route, f)
+	r.WithoutBody = e.WithoutBody
+	s.Service.RecordOutcome(time.Now(), e.Began, at, r, end, route.HomeRegions)
 	if e.Lost {
 		s.checks.Start(at, u.Address, func() { s.RecordRefusedConnection(time.Now(), at) })
 	}
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -109,12 +109,27 @@
 	a.permit.Done(r)
 	a.observe(r)
 	served := e == EndAnswered && r.Status < http.StatusInternalServerError
-	if lost := e == EndLost; (lost || served) && a.x.fingerprint != (Fingerprint{}) {
-		a.x.e.ports.Quarantine.Ended(&a.x.route, a.x.fingerprint, RunEnd{Upstream: a.upstream, Began: a.sentAt, Lost: lost})
+	if lost := e == EndLost; lost || served {
+		a.reportRun(RunEnd{Upstream: a.upstream, Began: a.sentAt, Lost: lost})
 	}
 	a.x.e.countCrossRegion(a.upstream.Region, a.bytesUp(), a.bytesDown)
 }
 
+// reportRun reports the end of a run to quarantine. The fingerprint of a body that was not read before sending is known
+// only now.
+func (a *attempt) reportRun(end RunEnd) {
+	x := a.x
+	if x.fingerprint == (Fingerprint{}) && x.headFingerprint != (Fingerprint{}) && end.Lost {
+		x.fingerprint = x.bodyFingerprint()
+		head := end
+		head.WithoutBody = true
+		x.e.ports.Quarantine.Ended(&x.route, x.headFingerprint, head)
+	}
+	if x.fingerprint != (Fingerprint{}) {
+		x.e.ports.Quarantine.Ended(&x.route, x.fingerprint, end)
+	}
+}
+
 func (a *attempt) bytesUp() int64 {
 	if a.body == nil {
 		return 0
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -50,6 +50,14 @@
 	return b.err == io.EOF, nil
 }
 
+// start returns the bytes that are kept, whether they are the complete body, and whether they are all that can be kept.
+func (b *requestBody) start() (kept string, complete, enough bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	complete = b.err == io.EOF && !b.consumed.Load()
+	return string(b.kept), complete, complete || len(b.kept) >= b.keep
+}
+
 func (b *requestBody) readKept() {
 	if cap(b.kept)-len(b.kept) == 0 {
 		grown := make([]byte, len(b.kept), min(max(2*cap(b.kept), 4<<10), b.keep))
--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -129,6 +129,9 @@
 	return Admission{Done: func() {}}, true
 }
 
+// Suspected implements Quarantine.
+func (noQuarantine) Suspected(*table.Route, Fingerprint) bool { return false }
+
 // Ended implements Quarantine.
 func (noQuarantine) Ended(*table.Route, Fingerprint, RunEnd) {}
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -51,9 +51,10 @@
 	body              *requestBody
 	header            http.Header
 	fingerprint       Fingerprint
-	releaseQuarantine func()   // ends the admission by quarantine
-	avoid             []string // see Admission
-	suspect           bool     // see Admission
+	headFingerprint   Fingerprint // of a request whose body is not read before sending, without the body
+	releaseQuarantine func()      // ends the admission by quarantine
+	avoid             []string    // see Admission
+	suspect           bool        // see Admission
 
 	identity      string
 	ticket        Ticket
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -164,8 +164,7 @@
 }
 
 // Fingerprint identifies a request for quarantine. The zero value means that the
-// request has none, because its body is too large or of unknown length and therefore
-// not read before sending.
+// request has none.
 type Fingerprint [16]byte
 
 // Short returns the start of the fingerprint, which is enough to find the repeats of a request in a log.
@@ -188,6 +187,8 @@
 type RunEnd struct {
 	Upstream table.Upstream
 	Began    time.Time
+	// WithoutBody is set if the fingerprint leaves out a body that was not read before sending.
+	WithoutBody bool
 	// Lost is set if the connection was lost while the request ran. Otherwise the upstream sent a complete response
 	// that is no error of its own.
 	Lost bool
@@ -198,6 +199,8 @@
 	// Admit reports whether the request may be sent to an upstream. It may wait
 	// until ctx ends. If ok is true, admission.Done is called when the request has ended.
 	Admit(ctx context.Context, route *table.Route, f Fingerprint) (admission Admission, ok bool)
+	// Suspected reports whether an upstream was lost under a request that differs from this one at most in its body.
+	Suspected(route *table.Route, f Fingerprint) bool
 	// Ended reports the end of an attempt.
 	Ended(route *table.Route, f Fingerprint, end RunEnd)
 }
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -46,7 +46,8 @@
 }
 
 // prepareBody reads a short body before an upstream is picked, so that a slow
-// caller does not occupy a slot, and computes the fingerprint.
+// caller does not occupy a slot, and computes the fingerprint. The start of another body is read only if upstreams
+// were lost under such requests.
 func (x *exchange) prepareBody() *Refusal {
 	if x.body == nil {
 		x.fingerprint = x.computeFingerprint("")
@@ -56,16 +57,33 @@
 	if waits || x.r.ContentLength < 0 || x.r.ContentLength > replayLimit {
 		if x.identity != "" {
 			x.fingerprint = x.computeFingerprint("")
+			return nil
+		}
+		x.headFingerprint = x.computeFingerprint("")
+		if !x.e.ports.Quarantine.Suspected(&x.route, x.headFingerprint) {
+			return nil
 		}
-		return nil
 	}
 	if _, err := x.body.fill(); err != nil {
 		return x.bodyRefusal(err)
 	}
-	x.fingerprint = x.computeFingerprint(string(x.body.kept))
+	x.fingerprint = x.bodyFingerprint()
 	return nil
 }
 
+// bodyFingerprint returns the fingerprint of a request whose body has been read, or as much of it as is kept. It is
+// zero if less was read.
+func (x *exchange) bodyFingerprint() Fingerprint {
+	start, complete, enough := x.body.start()
+	switch {
+	case !enough:
+		return Fingerprint{}
+	case complete:
+		return x.computeFingerprint(start)
+	}
+	return x.computeFingerprint(start + " of " + strconv.FormatInt(x.r.ContentLength, 10))
+}
+
 // bodyRefusal returns the refusal for a failure to read the caller's body.
 func (x *exchange) bodyRefusal(err error) *Refusal {
 	switch {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -22,6 +22,8 @@
 	return Admission{Done: func() { q.held.Add(-1) }}, true
 }
 
+func (q *refuseAfterLoss) Suspected(*table.Route, Fingerprint) bool { return false }
+
 func (q *refuseAfterLoss) Ended(_ *table.Route, _ Fingerprint, end RunEnd) {
 	if end.Lost {
 		q.lost.Add(1)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -235,13 +235,22 @@
 	return ids
 }
 
+// Suspected implements entry.Quarantine.
+func (s *quarantineService) Suspected(_ *table.Route, f entry.Fingerprint) bool {
+	r := s.request(f)
+	r.WithoutBody = true
+	return s.Service.Admit(time.Now(), r) != quarantine.Run
+}
+
 // Ended implements entry.Quarantine.
 func (s *quarantineService) Ended(_ *table.Route, f entry.Fingerprint, e entry.RunEnd) {
 	end, u := quarantine.Completed, upstreamOf(e.Upstream)
 	if e.Lost {
 		end = quarantine.Cut
 	}
-	s.RecordOutcome(time.Now(), e.Began, u, s.request(f), end, nil)
+	r := s.request(f)
+	r.WithoutBody = e.WithoutBody
+	s.RecordOutcome(time.Now(), e.Began, u, r, end, nil)
 	if e.Lost {
 		s.checks.Start(u, e.Upstream.Address, func() { s.RecordRefusedConnection(time.Now(), u) })
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -120,6 +120,9 @@
 	Identity string
 	// BodyDigest is a digest of the body, used only for requests without an identity.
 	BodyDigest []byte
+	// WithoutBody is set if the request has a body that the fingerprint does not cover. Such a fingerprint only tells
+	// that the body must be read before the request is sent; it is never refused.
+	WithoutBody bool
 }
 
 // Hasher computes the keyed hashes. It is safe for concurrent use.
@@ -150,9 +153,19 @@
 		digest = nil
 	}
 	sum := h.sum(digest, "request", r.Method, r.Route, r.Path, r.Identity)
+	sum[0] &^= withoutBodyBit
+	if r.WithoutBody {
+		sum[0] |= withoutBodyBit
+	}
 	return Fingerprint(sum[:16])
 }
 
+// withoutBodyBit is set in the first byte of the fingerprints of requests without their body, so that all instances
+// treat them alike.
+const withoutBodyBit = 0x80
+
+func (f Fingerprint) withoutBody() bool { return f[0]&withoutBodyBit != 0 }
+
 // hash64 returns a 64-bit keyed hash that identifies an upstream or a failure domain.
 func (h *Hasher) hash64(kind, a, b string) uint64 {
 	sum := h.sum(nil, kind, a, b)
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -67,7 +67,7 @@
 		return Run
 	case now.Before(r.refusedUntil):
 		return Refuse
-	case t.settings.Confine > 0 && len(r.losses) >= t.settings.MinLosses && !t.crashes(r.losses):
+	case t.settings.Confine > 0 && !f.withoutBody() && len(r.losses) >= t.settings.MinLosses && !t.crashes(r.losses):
 		return Sample
 	}
 	return Serialize
@@ -90,7 +90,7 @@
 		return false
 	}
 	r.homeRegions = home
-	if t.crashes(r.losses) {
+	if !f.withoutBody() && t.crashes(r.losses) {
 		t.judge(now)
 	}
 	r.extendExpiry(now.Add(t.settings.SuspectTime.Std()))
@@ -155,8 +155,8 @@
 // request is at times cut by the same crashing request again and again.
 func (t *Table) judge(now time.Time) {
 	var suspects []*record
-	for _, r := range t.records {
-		if t.crashes(r.losses) {
+	for f, r := range t.records {
+		if !f.withoutBody() && t.crashes(r.losses) {
 			suspects = append(suspects, r)
 		}
 	}
