Compare positions in the store's history by era and revision

Cause: a revision was taken for a point in time that only moves on. The position of each instance kept the highest revision it had seen, so the store answered 410 for each watch and the list that followed did not lower it; changes with revisions that had been given out before were dropped. The class: a value that can be given out again, compared without what makes it unique.

Change: store.Position is an era and a revision. The client takes the era from the store's answers; the position of an instance, the replica and its changes, each key's last change, what instances tell each other, stale lists and lists of several pages use it.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -118,7 +118,7 @@
 	sharedChanged chan struct{}
 
 	// Owned by syncLoop.
-	revision     uint64
+	position     store.Position
 	listed       bool
 	storeFailing bool   // the last call to the store failed
 	isolated     bool   // the last call to the store failed, and no reader has answered since
@@ -131,6 +131,7 @@
 // update is one answer of the store or of a reader.
 type update struct {
 	full        bool // entries replace everything
+	restored    bool // entries are the first ones of a store that has gone back to a copy
 	afterOutage bool // the store may have been unavailable before this answer
 	entries     []store.Entry
 	changes     []store.Change
@@ -239,7 +240,7 @@
 	deadline := f.storeDeadline()
 	for range maxReaderAttempts {
 		left := time.Until(deadline)
-		if f.actsAsReader() || f.revision == 0 || ctx.Err() != nil || left < minReaderTimeout-fallbackTimeout {
+		if f.actsAsReader() || f.position.IsZero() || ctx.Err() != nil || left < minReaderTimeout-fallbackTimeout {
 			return false
 		}
 		wait, limit := min(readerWait, max(left, 0)), min(readerWait+readerWaitMargin, left+fallbackTimeout)
@@ -270,7 +271,7 @@
 func (f *Follower) syncFromReader(ctx context.Context, reader Reader, wait, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	r, err := f.requestChanges(ctx, reader.ID, f.revision, wait)
+	r, err := f.requestChanges(ctx, reader.ID, f.position, wait)
 	historyLost := fault.Is(err, fault.NotFound)
 	if historyLost {
 		r, err = f.requestSnapshot(ctx, reader.ID)
@@ -281,13 +282,15 @@
 	confirmed := time.Now().Add(-r.age)
 	gap := f.replica.sinceConfirmed(confirmed)
 	afterOutage := gap > outageGap
+	restored := historyLost && r.position.Era > f.position.Era
 	if historyLost {
-		f.replica.reset(r.entries, r.revision, confirmed)
+		f.replica.reset(r.entries, r.position, confirmed)
 	} else {
-		f.replica.apply(r.changes, r.revision, confirmed)
+		f.replica.apply(r.changes, r.position, confirmed)
 	}
-	f.revision = max(f.revision, r.revision)
-	f.submit(ctx, update{full: historyLost, afterOutage: afterOutage, entries: r.entries, changes: r.changes})
+	f.advance(r.position)
+	f.recordRestored(restored, r.position)
+	f.submit(ctx, update{full: historyLost, restored: restored, afterOutage: afterOutage, entries: r.entries, changes: r.changes})
 	if r.age <= maxFreshAge || historyLost || len(r.changes) > 0 {
 		f.lastReader.Store(&reader)
 	}
@@ -322,9 +325,10 @@
 			f.log.V(1).Info("seed not reached", "address", address, "error", err.Error())
 			continue
 		}
-		f.log.Info("state taken from a seed", "address", address, "revision", r.revision, "age", r.age.String())
-		f.replica.reset(r.entries, r.revision, time.Now().Add(-r.age))
-		f.revision, f.listed = max(f.revision, r.revision), true
+		f.log.Info("state taken from a seed", "address", address, "era", r.position.Era, "revision", r.position.Revision, "age", r.age.String())
+		f.replica.reset(r.entries, r.position, time.Now().Add(-r.age))
+		f.advance(r.position)
+		f.listed = true
 		f.submit(ctx, update{full: true, afterOutage: true, entries: r.entries})
 		return
 	}
@@ -332,7 +336,7 @@
 
 // syncFromStore calls the store once and reports whether it answered.
 func (f *Follower) syncFromStore(ctx context.Context) bool {
-	if f.revision == 0 {
+	if f.position.IsZero() {
 		return f.startFromStale(ctx)
 	}
 	failedBefore := f.storeFailing
@@ -348,7 +352,7 @@
 	u := update{full: !f.listed}
 	requestedAt := time.Now()
 	var err error
-	var next uint64
+	var next store.Position
 	if u.full {
 		u.entries, next, err = f.source.List(ctx, "")
 	} else {
@@ -358,7 +362,7 @@
 	case ctx.Err() != nil:
 		return false
 	case fault.Is(err, fault.NotFound):
-		f.log.Info("history lost", "after", f.revision)
+		f.log.Info("history lost", "era", f.position.Era, "after", f.position.Revision)
 		f.listed = false
 		f.storeDown.Store(false)
 		return true
@@ -371,19 +375,26 @@
 	f.storeDown.Store(false)
 	f.fromStore.Store(true)
 	confirmed := time.Now()
-	if !u.full && len(u.changes) == 0 && next > f.revision {
-		// The revision rose without any event: the watch missed changes while the history was dropped.
-		f.log.Info("changes missed", "after", f.revision, "revision", next)
-		next, confirmed = f.revision, requestedAt
+	if !u.full && len(u.changes) == 0 && next.After(f.position) {
+		// The position rose without any event: the watch missed changes while the history was dropped.
+		f.log.Info("changes missed", "after", f.position.Revision, "revision", next.Revision)
+		next, confirmed = f.position, requestedAt
 	}
 	gap := f.replica.sinceConfirmed(confirmed)
 	u.afterOutage = gap > outageGap || failedBefore && gap > failedCallGap
 	if u.full {
 		f.replica.reset(u.entries, next, confirmed)
 	} else {
-		f.replica.apply(u.changes, max(next, f.revision), confirmed)
+		f.replica.apply(u.changes, next, confirmed)
 	}
-	f.revision, f.listed = max(next, f.revision), true
+	if u.full {
+		u.restored = next.Era > f.position.Era || next.Before(f.position)
+		f.recordRestored(u.restored, next)
+		f.position = next
+	} else {
+		f.advance(next)
+	}
+	f.listed = true
 	f.recordLookup(gap)
 	f.recordOrigin(storeOrigin, 0)
 	if len(u.changes) > 0 || u.full || u.afterOutage {
@@ -408,7 +419,7 @@
 // recordStoreAnswer records that the store answered.
 func (f *Follower) recordStoreAnswer() {
 	if f.storeFailing {
-		f.log.Info("store regained", "revision", f.revision)
+		f.log.Info("store regained", "revision", f.position.Revision)
 	}
 	f.storeFailing = false
 }
@@ -419,21 +430,41 @@
 // recordOrigin records the source of the latest fresh answer and logs when it differs from the previous one.
 func (f *Follower) recordOrigin(origin string, age time.Duration) {
 	if f.origin != origin {
-		f.log.Info("origin changed", "from", f.origin, "to", origin, "age", age.String(), "revision", f.revision, "reading", f.isReader.Load())
+		f.log.Info("origin changed", "from", f.origin, "to", origin, "age", age.String(), "revision", f.position.Revision, "reading", f.isReader.Load())
 		f.origin = origin
 	}
 }
 
 // watch asks the store for changes. It waits for one only when the store answered the previous
 // call, so that an unresponsive store blocks the instance no longer than necessary.
-func (f *Follower) watch(ctx context.Context) ([]store.Change, uint64, error) {
+func (f *Follower) watch(ctx context.Context) ([]store.Change, store.Position, error) {
 	wait := watchWait
 	if f.storeFailing || f.origin != storeOrigin {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
-	return f.source.Changes(ctx, "", f.revision, wait)
+	return f.source.Changes(ctx, "", f.position, wait)
+}
+
+// advance moves the position to a later one.
+func (f *Follower) advance(to store.Position) {
+	if to.After(f.position) {
+		f.position = to
+	}
+}
+
+// recordRestored logs that the store has gone back, and lets this instance grant nothing for the time of a lease: the store
+// may name another instance as the reader of the region, whose data is not yet of the new era.
+func (f *Follower) recordRestored(restored bool, to store.Position) {
+	if !restored {
+		return
+	}
+	f.log.Info("store restored", "era", f.position.Era, "from", f.position.Revision, "new_era", to.Era, "to", to.Revision)
+	if f.grantsFrom.Load() != nil {
+		from := time.Now().Add(readerLeaseTTL)
+		f.grantsFrom.Store(&from)
+	}
 }
 
 // submit passes an update to stateLoop, which owns the state.
@@ -474,7 +505,11 @@
 		state.outageEnded(now)
 	}
 	if u.full {
-		for _, failure := range state.reset(u.entries, now) {
+		reset := state.reset
+		if u.restored {
+			reset = state.restore
+		}
+		for _, failure := range reset(u.entries, now) {
 			f.log.Info("entry ignored", "key", failure.entry.Key, "revision", failure.entry.Revision, "error", failure.err.Error())
 		}
 		f.log.Info("listed", "entries", len(u.entries))
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -44,6 +44,7 @@
 	entries     map[string]store.Entry
 	events      []store.Change
 	rev         uint64
+	era         uint64
 	oldest      uint64 // changes up to this revision are dropped
 	down        bool
 	dropWakeups bool // changes do not wake waiting watches
@@ -55,7 +56,7 @@
 }
 
 func newFakeLog() *fakeLog {
-	return &fakeLog{entries: map[string]store.Entry{}, woken: make(chan struct{})}
+	return &fakeLog{entries: map[string]store.Entry{}, era: 1, woken: make(chan struct{})}
 }
 
 func (l *fakeLog) set(change func()) {
@@ -77,7 +78,7 @@
 func (l *fakeLog) put(key, value string) {
 	l.set(func() {
 		l.rev++
-		e := store.Entry{Key: key, Value: []byte(value), Revision: l.rev}
+		e := store.Entry{Key: key, Value: []byte(value), Revision: l.rev, Era: l.era}
 		l.entries[key] = e
 		l.events = append(l.events, store.Change{Entry: e})
 	})
@@ -87,22 +88,22 @@
 	l.set(func() {
 		l.rev++
 		delete(l.entries, key)
-		l.events = append(l.events, store.Change{Entry: store.Entry{Key: key, Revision: l.rev}, Deleted: true})
+		l.events = append(l.events, store.Change{Entry: store.Entry{Key: key, Revision: l.rev, Era: l.era}, Deleted: true})
 	})
 }
 
-func (l *fakeLog) List(context.Context, string) ([]store.Entry, uint64, error) {
+func (l *fakeLog) List(context.Context, string) ([]store.Entry, store.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls++
 	if l.down {
-		return nil, 0, fault.New(fault.Unavailable, "down", "wait")
+		return nil, store.Position{}, fault.New(fault.Unavailable, "down", "wait")
 	}
 	var out []store.Entry
 	for _, e := range l.entries {
 		out = append(out, e)
 	}
-	return out, l.rev, nil
+	return out, store.Position{Era: l.era, Revision: l.rev}, nil
 }
 
 func (l *fakeLog) ListStale(_ context.Context, prefix string) ([]store.Entry, error) {
@@ -125,7 +126,7 @@
 	return slices.Collect(maps.Values(state)), nil
 }
 
-func (l *fakeLog) Changes(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
+func (l *fakeLog) Changes(ctx context.Context, _ string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	l.mu.Lock()
@@ -133,29 +134,29 @@
 	l.mu.Unlock()
 	for {
 		l.mu.Lock()
-		woken, rev := l.woken, l.rev
+		woken, position := l.woken, store.Position{Era: l.era, Revision: l.rev}
 		var out []store.Change
 		for _, c := range l.events {
-			if c.Revision > after {
+			if c.Revision > after.Revision {
 				out = append(out, c)
 			}
 		}
-		down, lost := l.down, after < l.oldest
+		down, lost := l.down, after.Revision < l.oldest || after.Revision > l.rev || after.Era != l.era
 		l.mu.Unlock()
 		switch {
 		case down:
-			return nil, 0, fault.New(fault.Unavailable, "down", "wait")
+			return nil, store.Position{}, fault.New(fault.Unavailable, "down", "wait")
 		case lost:
-			return nil, 0, fault.New(fault.NotFound, "gone", "list")
+			return nil, store.Position{}, fault.New(fault.NotFound, "gone", "list")
 		case len(out) > 0:
-			return out, rev, nil
+			return out, position, nil
 		}
 		select {
 		case <-woken:
 		case <-timer.C:
-			return nil, rev, nil
+			return nil, position, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, store.Position{}, ctx.Err()
 		}
 	}
 }
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -122,9 +122,14 @@
 			}
 			held = f.acquireReaderLease(ctx)
 		} else if err := f.renewReaderLease(ctx, held); fault.Is(err, fault.NotFound) {
-			held = f.createReaderLease(ctx, held.key, 0) // it expired while the store failed; another instance may have taken it
+			// It expired while the store failed, or the store was restored; another instance may have taken it.
+			held = f.createReaderLease(ctx, held.key, f.ownKeyRevision(held.key))
 		} else if err != nil {
 			next = failedRenewalPause
+		} else if f.lostReaderKey(held, time.Now()) {
+			f.isReader.Store(false)
+			f.leaveReaderPlace(ctx, held)
+			held, next = readerLease{}, unknownReadersPause
 		} else {
 			f.recordInstances(ctx, held.since)
 		}
@@ -132,15 +137,39 @@
 	}
 	if held.lease != "" {
 		// Releasing the lease frees the key at once; if the call fails, the lease expires.
-		f.grantsFrom.Store(nil)
-		releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
-		defer cancel()
-		err := f.ephemeral.Release(releaseCtx, held.lease)
-		f.log.Info("reader place released", "key", held.key, "done", err == nil)
+		f.leaveReaderPlace(context.WithoutCancel(ctx), held)
 	}
 	return ctx.Err()
 }
 
+// leaveReaderPlace releases a reader lease.
+func (f *Follower) leaveReaderPlace(ctx context.Context, held readerLease) {
+	f.grantsFrom.Store(nil)
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	err := f.ephemeral.Release(ctx, held.lease)
+	f.log.Info("reader place released", "key", held.key, "done", err == nil)
+}
+
+// lostReaderKey reports whether the store has a lease of this instance but no longer its key, as after it was restored.
+func (f *Follower) lostReaderKey(held readerLease, now time.Time) bool {
+	known := f.readers.Load()
+	if known == nil || now.Sub(held.since) < readerLeaseTTL || now.Sub(f.replica.confirmedAt()) > maxGrantAge {
+		return false
+	}
+	return (*known)[held.key].ID != f.self.ID
+}
+
+// ownKeyRevision returns the revision of a reader key that names this instance, or 0.
+func (f *Follower) ownKeyRevision(key string) uint64 {
+	if known := f.readers.Load(); known != nil {
+		if r := (*known)[key]; r.ID == f.self.ID {
+			return r.revision
+		}
+	}
+	return 0
+}
+
 // acquireReaderLease tries to claim a free reader key.
 func (f *Follower) acquireReaderLease(ctx context.Context) readerLease {
 	if key, revision := f.formerReaderKey(); key != "" {
@@ -201,7 +230,7 @@
 }
 
 // formerReaderKey returns the reader key that this instance held before it restarted, if its lease has not expired yet,
-// with the key's revision. Nobody else can know yet that its holder has ended.
+// or before the store lost its lease, with the key's revision. Nobody else can know yet that its holder has ended.
 func (f *Follower) formerReaderKey() (key string, revision uint64) {
 	known := f.readers.Load()
 	if known == nil {
@@ -209,7 +238,7 @@
 	}
 	name, _, _ := strings.Cut(string(f.self.ID), "/")
 	for key, r := range *known {
-		if holder, _, _ := strings.Cut(string(r.ID), "/"); holder == name && r.ID != f.self.ID && r.Region == f.self.Region {
+		if holder, _, _ := strings.Cut(string(r.ID), "/"); holder == name && r.Region == f.self.Region {
 			return key, r.revision
 		}
 	}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -36,7 +36,7 @@
 type readerReply struct {
 	entries  []store.Entry
 	changes  []store.Change
-	revision uint64
+	position store.Position
 	age      time.Duration
 }
 
@@ -55,40 +55,40 @@
 	reply := &peerpb.ChangesReply{}
 	var age time.Duration
 	if request.Full {
-		entries, revision, dataAge, known := f.replica.snapshot()
+		entries, position, dataAge, known := f.replica.snapshot()
 		for _, e := range entries {
 			reply.Rows = append(reply.Rows, &peerpb.ConfigRow{Key: e.Key, Value: e.Value, Since: e.Revision})
 		}
-		reply.Revision, reply.Gone, age = revision, !known, dataAge
+		reply.Era, reply.Revision, reply.Gone, age = position.Era, position.Revision, !known, dataAge
 	} else {
 		wait := min(time.Duration(request.WaitMs)*time.Millisecond, watchWait)
 		fresh := f.hasFreshState()
 		if !fresh {
 			wait = 0
 		}
-		changes, revision, dataAge, gone := f.replica.changesAfter(ctx, request.After, wait)
+		changes, position, dataAge, gone := f.replica.changesAfter(ctx, store.Position{Era: request.Era, Revision: request.After}, wait)
 		if !fresh {
 			dataAge = max(dataAge, maxFreshAge+time.Millisecond)
 		}
 		for _, c := range changes {
 			reply.Rows = append(reply.Rows, &peerpb.ConfigRow{Key: c.Key, Value: c.Value, Since: c.Revision, Deleted: c.Deleted})
 		}
-		reply.Revision, reply.Gone, age = revision, gone, dataAge
+		reply.Era, reply.Revision, reply.Gone, age = position.Era, position.Revision, gone, dataAge
 	}
 	reply.AgeMs = uint32(min(age, time.Hour).Milliseconds())
 	return compressRows(reply)
 }
 
-// requestChanges requests the changes after a revision; the reader may wait for one.
-func (f *Follower) requestChanges(ctx context.Context, to peer.InstanceID, after uint64, wait time.Duration) (readerReply, error) {
-	return f.callInstance(ctx, to, &peerpb.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+// requestChanges requests the changes after a position; the reader may wait for one.
+func (f *Follower) requestChanges(ctx context.Context, to peer.InstanceID, after store.Position, wait time.Duration) (readerReply, error) {
+	return f.callInstance(ctx, to, &peerpb.ChangesRequest{Era: after.Era, After: after.Revision, WaitMs: uint32(wait.Milliseconds())})
 }
 
-// requestSnapshot requests all entries. It fails when the other instance has an older revision than this one.
+// requestSnapshot requests all entries. It fails when the other instance has an earlier position than this one.
 func (f *Follower) requestSnapshot(ctx context.Context, to peer.InstanceID) (readerReply, error) {
 	r, err := f.callInstance(ctx, to, &peerpb.ChangesRequest{Full: true})
-	if err == nil && r.revision < f.revision {
-		err = fault.New(fault.Unavailable, "the instance has an older revision than this one", "ask another one")
+	if err == nil && r.position.Before(f.position) {
+		err = fault.New(fault.Unavailable, "the instance has an earlier position in the store's history than this one", "ask another one")
 	}
 	return r, err
 }
@@ -102,7 +102,7 @@
 	if err := decompressRows(&reply); err != nil {
 		return readerReply{}, err
 	}
-	r := readerReply{revision: reply.Revision, age: time.Duration(reply.AgeMs) * time.Millisecond}
+	r := readerReply{position: store.Position{Era: reply.Era, Revision: reply.Revision}, age: time.Duration(reply.AgeMs) * time.Millisecond}
 	switch {
 	case reply.Gone && request.Full:
 		return r, fault.New(fault.Unavailable, "the reader has no state yet", "ask another one")
@@ -110,7 +110,7 @@
 		return r, fault.New(fault.NotFound, "the reader no longer has the changes", "ask for all entries")
 	}
 	for _, row := range reply.Rows {
-		e := store.Entry{Key: row.Key, Value: row.Value, Revision: row.Since}
+		e := store.Entry{Key: row.Key, Value: row.Value, Revision: row.Since, Era: reply.Era}
 		if request.Full {
 			r.entries = append(r.entries, e)
 		} else {
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -48,14 +48,14 @@
 // clientTimeout is the timeout of the real client.
 const clientTimeout = 2 * time.Second
 
-func (c *storeConnection) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+func (c *storeConnection) List(ctx context.Context, prefix string) ([]store.Entry, store.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	if err := c.connectionError(ctx); err != nil {
-		return nil, 0, err
+		return nil, store.Position{}, err
 	}
 	if c.listFails.Load() {
-		return nil, 0, fault.New(fault.Unavailable, "busy", "wait")
+		return nil, store.Position{}, fault.New(fault.Unavailable, "busy", "wait")
 	}
 	return c.fakeLog.List(ctx, prefix)
 }
@@ -69,11 +69,11 @@
 	return c.fakeLog.ListStale(ctx, prefix)
 }
 
-func (c *storeConnection) Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Change, uint64, error) {
+func (c *storeConnection) Changes(ctx context.Context, prefix string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
 	defer cancel()
 	if err := c.connectionError(ctx); err != nil {
-		return nil, 0, err
+		return nil, store.Position{}, err
 	}
 	if c.missesChanges.Load() {
 		pause.For(ctx, wait)
@@ -81,7 +81,7 @@
 	}
 	changes, next, err := c.fakeLog.Changes(ctx, prefix, after, wait)
 	if cut := c.connectionError(ctx); cut != nil {
-		return nil, 0, cut
+		return nil, store.Position{}, cut
 	}
 	return changes, next, err
 }
@@ -329,7 +329,7 @@
 	for i := range 100 {
 		entries = append(entries, store.Entry{Key: fmt.Sprint(i), Value: []byte(strings.Repeat("v", 100)), Revision: uint64(i + 1)})
 	}
-	r.reset(entries, 100, time.Now())
+	r.reset(entries, store.Position{Revision: 100}, time.Now())
 	f := &Follower{replica: r, counter: newInstanceCounter(), callers: newCallers()}
 	reply, err := f.handleChanges(context.Background(), "a", []byte{0x18, 1}) // full = true
 	is.NoErr(err)
@@ -341,15 +341,15 @@
 func TestReplicaKeepsChangesOfOneRevision(t *testing.T) {
 	is := is.New(t)
 	r := newReplica()
-	r.reset(nil, 5, time.Now())
+	r.reset(nil, store.Position{Revision: 5}, time.Now())
 	two := []store.Change{{Entry: store.Entry{Key: "a", Revision: 6}}, {Entry: store.Entry{Key: "b", Revision: 6}}}
-	r.apply(two, 6, time.Now())
-	r.apply(two, 6, time.Now()) // duplicate
-	changes, revision, _, gone := r.changesAfter(context.Background(), 5, time.Millisecond)
+	r.apply(two, store.Position{Revision: 6}, time.Now())
+	r.apply(two, store.Position{Revision: 6}, time.Now()) // duplicate
+	changes, position, _, gone := r.changesAfter(context.Background(), store.Position{Revision: 5}, time.Millisecond)
 	is.True(!gone)
 	is.Equal(len(changes), 2)
-	is.Equal(revision, uint64(6))
-	_, _, _, gone = r.changesAfter(context.Background(), 4, time.Millisecond)
+	is.Equal(position, store.Position{Revision: 6})
+	_, _, _, gone = r.changesAfter(context.Background(), store.Position{Revision: 4}, time.Millisecond)
 	is.True(gone)
 }
 
@@ -380,12 +380,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newReplica()
-		r.reset(nil, 5, time.Now())
-		_, _, age, _ := r.changesAfter(context.Background(), 5, readerWait)
+		r.reset(nil, store.Position{Revision: 5}, time.Now())
+		_, _, age, _ := r.changesAfter(context.Background(), store.Position{Revision: 5}, readerWait)
 		is.Equal(age, readerWait)
 		ctx, cancel := context.WithTimeout(context.Background(), readerWait)
 		defer cancel()
-		_, _, age, _ = r.changesAfter(ctx, 5, time.Minute)
+		_, _, age, _ = r.changesAfter(ctx, store.Position{Revision: 5}, time.Minute)
 		is.Equal(age, 2*readerWait)
 	})
 }
@@ -460,7 +460,7 @@
 		f := New(Options{Codec: textCodec{}, Peers: fl.net.Join("late/a", "10.0.0.9:1")}, logr.Discard())
 		r, err := f.requestSnapshot(t.Context(), fl.ids[0])
 		is.NoErr(err)
-		f.revision = r.revision + 1
+		f.position = store.Position{Era: r.position.Era, Revision: r.position.Revision + 1}
 		_, err = f.requestSnapshot(t.Context(), fl.ids[0])
 		is.True(fault.Is(err, fault.Unavailable))
 	})
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -27,7 +27,7 @@
 )
 
 // startFromStale takes the first state from a stale list, and what has changed since from a reader. It reports whether
-// the store answered. Without a reader the caller watches the store from the newest revision in the list.
+// the store answered. Without a reader the caller watches the store from the newest position in the list.
 func (f *Follower) startFromStale(ctx context.Context) bool {
 	start := time.Now()
 	f.searchUntil = start.Add(discoveryTime)
@@ -39,18 +39,18 @@
 		f.recordStoreFailure("stale list", start, err)
 		return false
 	}
-	revision := newestRevision(entries)
-	if revision == 0 {
-		// Nothing is known of the store's revision, so that changes cannot be followed from it.
-		entries, revision, err = f.source.List(ctx, "")
+	position := newestPosition(entries)
+	if position.Revision == 0 || position.Era > firstEra {
+		// A stale list of a restored store may be from before, with positions that this store never had.
+		entries, position, err = f.source.List(ctx, "")
 		if err != nil {
 			f.recordStoreFailure("list", start, err)
 			return false
 		}
 	}
 	f.recordStoreAnswer()
-	f.replica.reset(entries, revision, time.Now().Add(-staleAge))
-	f.revision, f.listed = revision, true
+	f.replica.reset(entries, position, time.Now().Add(-staleAge))
+	f.position, f.listed = position, true
 	f.submit(ctx, update{full: true, entries: entries})
 	f.adoptReaders(entries)
 	if f.peers == nil || f.syncFromReaders(ctx, true) {
@@ -114,10 +114,15 @@
 	f.readers.Store(&readers)
 }
 
-// newestRevision returns the highest revision of the entries, or zero if there are none.
-func newestRevision(entries []store.Entry) (revision uint64) {
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
+// newestPosition returns the latest position of the entries, or zero if there are none.
+func newestPosition(entries []store.Entry) (position store.Position) {
 	for _, e := range entries {
-		revision = max(revision, e.Revision)
+		if e.Position().After(position) {
+			position = e.Position()
+		}
 	}
-	return revision
+	return position
 }
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -50,21 +51,71 @@
 	records           map[string]record
 	config            *Config
 	removalsHeldUntil time.Time // removals of upstreams before this time are delayed until it
+	restoredUntil     time.Time // removals of anything before this time are delayed until it
+	fromCopy          bool      // the entries that are put are those of a copy
+	gone              map[string]goneUpstream
 }
 
+// goneUpstream is an upstream whose entry was removed.
+type goneUpstream struct {
+	startMillis int64
+	at          time.Time
+}
+
+const (
+	// goneMemory is how long a removed upstream is remembered. Copies from which a store is restored are not older.
+	goneMemory = time.Minute
+	// maxGone bounds the removed upstreams that are remembered.
+	maxGone = 4096
+)
+
 type record struct {
 	decoded  DecodedEntry
-	revision uint64
+	position store.Position
 	removeAt time.Time // set while a removal is delayed
 }
 
 func newFollowedState(codec Codec) *followedState {
-	return &followedState{codec: codec, records: map[string]record{}}
+	return &followedState{codec: codec, records: map[string]record{}, gone: map[string]goneUpstream{}}
 }
 
 // outageEnded records that the store answers again after an outage.
 func (s *followedState) outageEnded(now time.Time) { s.removalsHeldUntil = now.Add(removalGrace) }
 
+// restore replaces all entries by those of a store that has gone back to a copy. What the operator and the upstreams have
+// written since is written again within removalGrace, so what the copy lacks stays for so long, and what it
+// takes back is not believed: an upstream that left does not return, and an older process does not replace a newer one.
+func (s *followedState) restore(entries []store.Entry, now time.Time) []decodeFailure {
+	s.outageEnded(now)
+	s.restoredUntil = now.Add(removalGrace)
+	s.fromCopy = true
+	defer func() { s.fromCopy = false }()
+	return s.reset(entries, now)
+}
+
+// keepNewer replaces what a copy says by what is known to be newer.
+func (s *followedState) keepNewer(key string, decoded DecodedEntry) DecodedEntry {
+	old := s.records[key].decoded
+	if size := decoded.fleetSize; size != nil && old.fleetSize != nil && old.fleetSize.instances > size.instances {
+		return old
+	}
+	u := decoded.Upstream
+	if u == nil {
+		return decoded
+	}
+	gone, wasRemoved := s.gone[key]
+	switch {
+	case old.Upstream != nil && old.Upstream.StartMillis > u.StartMillis:
+		return old
+	case old.Upstream != nil && old.Upstream.StartMillis == u.StartMillis && old.Upstream.Leaving,
+		wasRemoved && gone.startMillis == u.StartMillis:
+		leaving := *u
+		leaving.Leaving = true
+		decoded.Upstream = &leaving
+	}
+	return decoded
+}
+
 // reset replaces all entries and returns those that could not be decoded.
 func (s *followedState) reset(entries []store.Entry, now time.Time) []decodeFailure {
 	var failures []decodeFailure
@@ -91,8 +142,8 @@
 
 // apply applies one change.
 func (s *followedState) apply(c store.Change, now time.Time) error {
-	if old, ok := s.records[c.Key]; ok && c.Revision <= old.revision {
-		return nil // duplicate: a page was read after the revision reported for its list
+	if old, ok := s.records[c.Key]; ok && !c.Position().After(old.position) {
+		return nil // duplicate: a page was read after the position reported for its list
 	}
 	if c.Deleted {
 		s.remove(c.Key, now)
@@ -121,24 +172,49 @@
 	if err != nil {
 		decoded = DecodedEntry{}
 	}
+	if s.fromCopy {
+		decoded = s.keepNewer(e.Key, decoded)
+	}
 	if decoded.Config != nil && (s.config == nil || decoded.Config.Version > s.config.Version) {
 		s.config = decoded.Config
 	}
-	s.records[e.Key] = record{decoded: decoded, revision: e.Revision}
+	s.records[e.Key] = record{decoded: decoded, position: e.Position()}
 	return err
 }
 
+// heldUntil returns until when the removal of an entry is not believed, or a time in the past.
+func (s *followedState) heldUntil(d DecodedEntry) time.Time {
+	switch {
+	case d.Upstream != nil && !d.Upstream.Leaving:
+		return s.removalsHeldUntil
+	case d.EvacuatedFailureDomain != "", d.fleetSize != nil:
+		return s.restoredUntil
+	}
+	return time.Time{}
+}
+
+// delete deletes a record and remembers the upstream that it named.
+func (s *followedState) delete(key string, now time.Time) {
+	if u := s.records[key].decoded.Upstream; u != nil {
+		maps.DeleteFunc(s.gone, func(_ string, g goneUpstream) bool { return now.Sub(g.at) > goneMemory })
+		if len(s.gone) < maxGone {
+			s.gone[key] = goneUpstream{u.StartMillis, now}
+		}
+	}
+	delete(s.records, key)
+}
+
 func (s *followedState) remove(key string, now time.Time) {
 	r, ok := s.records[key]
 	if !ok {
 		return
 	}
-	if r.decoded.Upstream != nil && !r.decoded.Upstream.Leaving && now.Before(s.removalsHeldUntil) {
-		r.removeAt = s.removalsHeldUntil
+	if until := s.heldUntil(r.decoded); now.Before(until) {
+		r.removeAt = until
 		s.records[key] = r
 		return
 	}
-	delete(s.records, key)
+	s.delete(key, now)
 }
 
 // expire carries out the delayed removals that are due. It returns the time of the
@@ -148,7 +224,7 @@
 		switch {
 		case r.removeAt.IsZero():
 		case !now.Before(r.removeAt):
-			delete(s.records, key)
+			s.delete(key, now)
 		case next.IsZero() || r.removeAt.Before(next):
 			next = r.removeAt
 		}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -20,10 +20,10 @@
 	mu           sync.Mutex
 	initialized  bool
 	entries      map[string]store.Entry
-	changes      []store.Change // ordered by revision, complete after historyStart
-	historyStart uint64
-	revision     uint64
-	// confirmed is when the store last reported revision as its latest one.
+	changes      []store.Change // ordered by position, complete after historyStart
+	historyStart store.Position
+	position     store.Position // all entries and changes are of its era
+	// confirmed is when the store last reported position as its latest one.
 	confirmed time.Time
 	updated   chan struct{}
 }
@@ -32,29 +32,30 @@
 	return &replica{entries: map[string]store.Entry{}, updated: make(chan struct{})}
 }
 
-// reset replaces everything by a list.
-func (r *replica) reset(entries []store.Entry, revision uint64, confirmed time.Time) {
+// reset replaces everything by a list, whose position may be an earlier one.
+func (r *replica) reset(entries []store.Entry, position store.Position, confirmed time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.initialized, r.changes, r.historyStart = true, nil, revision
+	r.initialized, r.changes, r.historyStart = true, nil, position
 	clear(r.entries)
 	for _, e := range entries {
 		r.entries[e.Key] = e
 	}
-	r.advance(revision, confirmed)
+	r.position = position
+	r.confirm(confirmed)
 }
 
-// apply adds changes up to a revision.
-func (r *replica) apply(changes []store.Change, revision uint64, confirmed time.Time) {
+// apply adds changes of the current era up to a position.
+func (r *replica) apply(changes []store.Change, position store.Position, confirmed time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	lastApplied := r.historyStart
 	if n := len(r.changes); n > 0 {
-		lastApplied = r.changes[n-1].Revision
+		lastApplied = r.changes[n-1].Position()
 	}
 	for _, c := range changes {
-		if c.Revision <= lastApplied {
-			continue // duplicate; changes of one transaction share a revision
+		if !c.Position().After(lastApplied) {
+			continue // duplicate; changes of one transaction share a position
 		}
 		r.changes = append(r.changes, c)
 		if c.Deleted {
@@ -64,14 +65,16 @@
 		}
 	}
 	if excess := len(r.changes) - maxReplicaChanges; excess > 0 {
-		r.historyStart = r.changes[excess-1].Revision
+		r.historyStart = r.changes[excess-1].Position()
 		r.changes = slices.Clone(r.changes[excess:])
 	}
-	r.advance(revision, confirmed)
+	if position.After(r.position) {
+		r.position = position
+	}
+	r.confirm(confirmed)
 }
 
-func (r *replica) advance(revision uint64, confirmed time.Time) {
-	r.revision = max(r.revision, revision)
+func (r *replica) confirm(confirmed time.Time) {
 	if confirmed.After(r.confirmed) {
 		r.confirmed = confirmed
 	}
@@ -89,14 +92,14 @@
 	return confirmed.Sub(r.confirmed)
 }
 
-// confirmedAt returns when the store last confirmed the revision, or zero before the first time.
+// confirmedAt returns when the store last confirmed the position, or zero before the first time.
 func (r *replica) confirmedAt() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.confirmed
 }
 
-// age returns the seconds since the store last confirmed the revision, or -1 before the first time.
+// age returns the seconds since the store last confirmed the position, or -1 before the first time.
 func (r *replica) age() float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,31 +110,31 @@
 }
 
 // snapshot returns all entries.
-func (r *replica) snapshot() (entries []store.Entry, revision uint64, age time.Duration, known bool) {
+func (r *replica) snapshot() (entries []store.Entry, position store.Position, age time.Duration, known bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.entries {
 		entries = append(entries, e)
 	}
-	return entries, r.revision, time.Since(r.confirmed), r.initialized
+	return entries, r.position, time.Since(r.confirmed), r.initialized
 }
 
-// changesAfter returns the changes after a revision. It waits for one while the data is
-// fresh, at most for limit and until ctx ends. gone means that changes after that revision were
-// already dropped, or that no list has been received yet.
-func (r *replica) changesAfter(ctx context.Context, after uint64, limit time.Duration) (changes []store.Change, revision uint64, age time.Duration, gone bool) {
+// changesAfter returns the changes after a position. It waits for one while the data is
+// fresh, at most for limit and until ctx ends. gone means that changes after that position were
+// already dropped, that it is of another era, or that no list has been received yet.
+func (r *replica) changesAfter(ctx context.Context, after store.Position, limit time.Duration) (changes []store.Change, position store.Position, age time.Duration, gone bool) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for done := false; ; {
 		r.mu.Lock()
-		gone = !r.initialized || after < r.historyStart
-		first, _ := slices.BinarySearchFunc(r.changes, after+1, func(c store.Change, first uint64) int { return cmp.Compare(c.Revision, first) })
+		gone = !r.initialized || after.Era != r.position.Era || after.Before(r.historyStart)
+		first, _ := slices.BinarySearchFunc(r.changes, after.Revision+1, func(c store.Change, first uint64) int { return cmp.Compare(c.Revision, first) })
 		// The age is measured when the answer is given, not when the wait began.
-		changes, revision, age = r.changes[first:len(r.changes):len(r.changes)], r.revision, time.Since(r.confirmed)
+		changes, position, age = r.changes[first:len(r.changes):len(r.changes)], r.position, time.Since(r.confirmed)
 		updated := r.updated
 		r.mu.Unlock()
 		if done || gone || len(changes) > 0 || age > maxFreshAge {
-			return changes, revision, age, gone
+			return changes, position, age, gone
 		}
 		staleTimer := time.NewTimer(maxFreshAge - age + time.Millisecond)
 		select {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -20,8 +20,13 @@
 	Key      string
 	Value    []byte
 	Revision uint64
+	// Era is the era of the revision, or 0 for a store that does not state it.
+	Era uint64
 }
 
+// Position returns the position of the entry's last change.
+func (e Entry) Position() Position { return Position{e.Era, e.Revision} }
+
 // KV is the key-value part of the store.
 type KV interface {
 	// Get returns the entry of key, or a NotFound fault.
@@ -189,14 +194,14 @@
 
 // ChangeLog is a store that reports its changes one by one.
 type ChangeLog interface {
-	// List returns the entries under prefix and a revision. The entries may lack changes after that revision,
-	// which Changes returns, and an entry may be newer than it.
-	List(ctx context.Context, prefix string) ([]Entry, uint64, error)
+	// List returns the entries under prefix and a position. The entries may lack changes after that position,
+	// which Changes returns, and an entry may be newer than it. All of them are of the era of the position.
+	List(ctx context.Context, prefix string) ([]Entry, Position, error)
 	// ListStale returns the entries under prefix as they were at some time within the last seconds. It costs a tenth
-	// of List.
+	// of List. They may be from before the store was restored.
 	ListStale(ctx context.Context, prefix string) ([]Entry, error)
-	// Changes waits up to wait for a change under prefix after the given revision. It returns the changes and
-	// the revision from which to continue. A NotFound fault means that the store no longer has the history
-	// after that revision, so that the entries must be listed again.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// Changes waits up to wait for a change under prefix after the given position. It returns the changes and
+	// the position from which to continue, which is of the same era. A NotFound fault means that the store no longer has
+	// the history after that position, or has started another era, so that the entries must be listed again.
+	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
 }
