--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -288,8 +288,8 @@
 	} else {
 		f.replica.apply(r.changes, r.position, confirmed)
 	}
-	f.advance(r.position)
 	f.recordRestored(restored, r.position)
+	f.advance(r.position)
 	f.submit(ctx, update{full: historyLost, restored: restored, afterOutage: afterOutage, entries: r.entries, changes: r.changes})
 	if r.age <= maxFreshAge || historyLost || len(r.changes) > 0 {
 		f.lastReader.Store(&reader)
