--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -142,36 +142,23 @@
 		return nil
 	}
 	f := s.hasher.Fingerprint(r)
-	type candidate struct {
-		Upstream
-		lost bool
-		rank uint64
-	}
+	rank := func(u Upstream) uint64 { return s.hasher.hash64("rank", string(f[:]), u.ID) }
+	byRank := func(a, b Upstream) int { return cmp.Compare(rank(a), rank(b)) }
 	now := time.Now()
-	candidates := make([]candidate, len(among))
+	var live, lost []Upstream
 	s.mu.RLock()
-	for i, u := range among {
+	for _, u := range among {
 		h := s.upstreamHash(u)
-		candidates[i] = candidate{u, s.table.hasLossOf(f, h) || now.Sub(s.lost[h]) < lostTime, s.hasher.hash64("rank", string(f[:]), u.ID)}
-	}
-	s.mu.RUnlock()
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		if a.lost != b.lost {
-			return cmp.Compare(boolToInt(a.lost), boolToInt(b.lost))
+		if s.table.hasLossOf(f, h) || now.Sub(s.lost[h]) < lostTime {
+			lost = append(lost, u)
+		} else {
+			live = append(live, u)
 		}
-		return cmp.Compare(a.rank, b.rank)
-	})
-	for _, c := range candidates[min(s.Settings.Confine, len(candidates)):] {
-		others = append(others, c.Upstream)
 	}
-	return others
-}
-
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
+	s.mu.RUnlock()
+	slices.SortFunc(live, byRank)
+	slices.SortFunc(lost, byRank)
+	return slices.Concat(live, lost)[min(s.Settings.Confine, len(among)):]
 }
 
 // RefusedUntil returns until when a request is refused, or a time in the past.
