entry: do not wait for a caller's body to make a fingerprint after a loss

A read of the body that is in progress holds its lock, so the fingerprint of a request that lost its upstream in the middle of an upload could wait for the caller. Such a body cannot be complete; there is no fingerprint then.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -50,9 +50,12 @@
 	return b.err == io.EOF, nil
 }
 
-// start returns the bytes that are kept, whether they are the complete body, and whether they are all that can be kept.
+// start returns the bytes that are kept, whether they are the complete body, and whether they are all that can be kept. It
+// does not wait for a read from the caller that is in progress, after which the body could not be complete.
 func (b *requestBody) start() (kept string, complete, enough bool) {
-	b.mu.Lock()
+	if !b.mu.TryLock() {
+		return "", false, false
+	}
 	defer b.mu.Unlock()
 	complete = b.err == io.EOF && !b.consumed.Load()
 	return string(b.kept), complete, complete || len(b.kept) >= b.keep
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -54,6 +57,29 @@
 	is.Equal(q.held.Load(), int64(0))
 }
 
+// Guards against a caller that waits for the refusal of a request whose upstream was lost before the caller has sent the whole
+// body.
+func TestLossDuringAnUploadIsAnsweredAtOnce(t *testing.T) {
+	const bound = time.Second
+	is := is.New(t)
+	upstream := newRawUpstream(t, func(_ int64, c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_ = c.Close()
+	})
+	route := testRoute()
+	route.Retry.MaxAttempts = 1
+	h := newHarness(t, route, []string{upstream.addr})
+	c, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n"))
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(bound)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+}
+
 // Guards against sending a suspect request again to an upstream that it may have
 // crashed: that upstream could be lost again without new evidence against the request.
 func TestSuspectAvoidsLostUpstreams(t *testing.T) {
