review: a case of a change that a restarted instance never learns

Case 2: an instance that starts takes the newest revision in a stale list as the position of all of its pages. Pages are of different times, so a change between them is never delivered, and the instance goes on with the older configuration.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
-	"body":   runBodyCase,
+	"body":  runBodyCase,
+	"stale": runStaleCase,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
