review: a case of changes that a frozen instance drops for good

Case 3: a call to a reader ends with its context while its answer is already recorded as received. The hand-over to the state uses the same context and drops the answer.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,8 +18,9 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
-	"body":  runBodyCase,
-	"stale": runStaleCase,
+	"body":   runBodyCase,
+	"stale":  runStaleCase,
+	"freeze": runFreezeCase,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
