review: a case of requests that an added route takes from another service

Case 4: routes are matched on the decoded path, so an encoded slash in a request's path counts as the end of a route's prefix. A version that adds a route below another one moves requests to its service that no version sends there.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 	"body":   runBodyCase,
 	"stale":  runStaleCase,
 	"freeze": runFreezeCase,
+	"route":  runRouteCase,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
