--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -74,14 +75,29 @@
 
 func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+// lowestPort and ports are a range below the one from which most systems take the ports of outgoing connections, so that a
+// port stays free while its process restarts.
+const (
+	lowestPort = 20000
+	ports      = 10000
+)
+
+var givenPorts = map[int]bool{}
+
+// freeAddress returns a loopback address whose port is free and was not returned before.
 func freeAddress() string {
-	l, err := listen()
-	if err != nil {
-		return "127.0.0.1:1"
+	for range ports {
+		port := lowestPort + rand.IntN(ports)
+		if givenPorts[port] {
+			continue
+		}
+		givenPorts[port] = true
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			_ = l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return "127.0.0.1:1"
 }
 
 // newDeployment starts the store; zones are of the form region-letter, one for each instance.
