review: a case of a process that ends when callers leave

Case 5: an interim response that was read before the caller left is written to the response of a request that has ended. The write is by the goroutine that reads from the upstream, so the whole process ends, with all requests of its other callers.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,10 +18,11 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
-	"body":   runBodyCase,
-	"stale":  runStaleCase,
-	"freeze": runFreezeCase,
-	"route":  runRouteCase,
+	"body":    runBodyCase,
+	"stale":   runStaleCase,
+	"freeze":  runFreezeCase,
+	"route":   runRouteCase,
+	"interim": runInterimCase,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
