--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")" || exit 2
-exec ../bin/standin route ../../target/turmericsail record.txt
+exec ../bin/standin freeze ../../target/turmericsail record.txt
