review: cases on storms of large configurations

Cause: instances keep every version of the configuration in memory, bounded by number and not by bytes, and give up on an answer to a watch that is longer than 8 MiB.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,9 @@
 	"freeze":  runFreezeCase,
 	"route":   runRouteCase,
 	"interim": runInterimCase,
+	"storm":   runStormCase,
+	"memory":  runMemoryCase,
+	"extra":   runExtraCase,
 }
 
 func main() { os.Exit(play(os.Args[1:])) }
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -41,6 +41,9 @@
 	// staleness returns how old the answer to a stale read of a page is, which begins after the given key.
 	staleness func(after string) time.Duration
 
+	// history is how long events are kept; zero means forever.
+	history time.Duration
+
 	mu       sync.Mutex
 	items    map[string]item
 	events   []event
@@ -57,6 +60,27 @@
 	}
 }
 
+// setHistory sets how long events are kept for watches.
+func (s *store) setHistory(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = d
+}
+
+// dropped returns the revision of the latest event that is no longer kept for watches.
+func (s *store) dropped() (revision uint64) {
+	if s.history == 0 {
+		return 0
+	}
+	for _, e := range s.events {
+		if time.Since(e.at) < s.history {
+			break
+		}
+		revision = e.Revision
+	}
+	return revision
+}
+
 // write writes an item as the operator or a server does. It returns its revision.
 func (s *store) write(key, value string) uint64 {
 	s.mu.Lock()
@@ -215,6 +239,10 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
+		if after < s.dropped() {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
 		events := []map[string]any{}
 		for _, e := range s.events {
 			switch {
