review: a case on a second answer to a health check

Cause: a response without the request's ID is taken for the server's answer unless it is a 2xx or says that the request has not run.

--- a/review/standin/case_extra.go
+++ b/review/standin/case_extra.go
@@ -17,20 +17,19 @@
 
 const (
 	// extraTime is how long orders are sent.
-	extraTime = 85 * time.Second
+	extraTime = 95 * time.Second
 	// extraOrders is the number of orders that are sent to an instance at the same moment, and extraOrderGap the time until the
 	// next ones are sent to the next instance.
-	extraOrders   = 12
+	extraOrders   = 16
 	extraOrderGap = 25 * time.Millisecond
 	// extraWork is how long an order takes.
-	extraWork = 30 * time.Millisecond
+	extraWork = 15 * time.Millisecond
 	// extraShare is the share of the answers of a garbling server after which it sends a second one.
 	extraShare = 0.03
 	// extraIllTime is how long a server says that it is ill, though it is well, before the next one does.
-	extraIllTime = 5 * time.Second
-	// extraServers is the number of servers, and extraGarbling of those that send second answers: a share of 4 in 7. One in 7
-	// says that it is ill.
-	extraServers, extraGarbling = 7, 4
+	extraIllTime = 100 * time.Millisecond
+	// extraServers is the number of servers, and extraGarbling of those that send second answers.
+	extraServers, extraGarbling = 4, 2
 )
 
 // wireServer is a server that writes its answers itself, so that it can send a second one.
@@ -119,7 +118,7 @@
 	seen := newObservations()
 	var servers []*wireServer
 	for n := range extraServers {
-		s, err := startWireServer(fmt.Sprintf("i-new-%d", n), "new", []string{"north-a", "north-b", "central-a"}[n%3], seen, d.record)
+		s, err := startWireServer(fmt.Sprintf("i-new-%d", n), "new", []string{"north-a", "north-b", "central-a", "central-b"}[n], seen, d.record)
 		if err != nil {
 			return 0, err
 		}
