follow: give a stale list the position of its oldest page

Callers saw orders run at the service that a route had been moved away from, at one instance that had been restarted, until the next change of the configuration.

Cause: the position of a stale list was that of its newest entry. Its pages are of different ages, so a change between the time of an older page and the newest entry of a later one was neither in the list nor after its position. Ruled out: the watch and the relay between instances, which deliver everything after the position they are given.

Change: ListStale returns a position, which is the earliest of the newest positions of its pages, and zero if a page is empty.

--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -51,10 +51,18 @@
 	woken       chan struct{}
 	calls       int
 	staleCalls  int
-	staleBy     uint64 // how many revisions stale lists are behind
+	staleBy     uint64      // how many revisions stale lists are behind
+	stalePages  []stalePage // the pages of stale lists, or none for a single page that is behind by staleBy
 	leases      []*fakeLease
 }
 
+// stalePage is a page of a stale list: it has the keys from the given one to the first key of the next page, as they were
+// some revisions ago.
+type stalePage struct {
+	first  string
+	behind uint64
+}
+
 func newFakeLog() *fakeLog {
 	return &fakeLog{entries: map[string]store.Entry{}, era: 1, woken: make(chan struct{})}
 }
@@ -106,24 +114,33 @@
 	return out, store.Position{Era: l.era, Revision: l.rev}, nil
 }
 
-func (l *fakeLog) ListStale(_ context.Context, prefix string) ([]store.Entry, error) {
+func (l *fakeLog) ListStale(_ context.Context, prefix string) ([]store.Entry, store.Position, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.staleCalls++
 	if l.down {
-		return nil, fault.New(fault.Unavailable, "down", "wait")
+		return nil, store.Position{}, fault.New(fault.Unavailable, "down", "wait")
 	}
-	state := map[string]store.Entry{}
-	for _, c := range l.events {
-		switch {
-		case c.Revision+l.staleBy > l.rev || !strings.HasPrefix(c.Key, prefix):
-		case c.Deleted:
-			delete(state, c.Key)
-		default:
-			state[c.Key] = c.Entry
+	pages := l.stalePages
+	if pages == nil {
+		pages = []stalePage{{behind: l.staleBy}}
+	}
+	var read [][]store.Entry
+	for i, p := range pages {
+		state := map[string]store.Entry{}
+		for _, c := range l.events {
+			switch {
+			case c.Revision+p.behind > l.rev || !strings.HasPrefix(c.Key, prefix):
+			case c.Key < p.first || i+1 < len(pages) && c.Key >= pages[i+1].first:
+			case c.Deleted:
+				delete(state, c.Key)
+			default:
+				state[c.Key] = c.Entry
+			}
 		}
+		read = append(read, slices.Collect(maps.Values(state)))
 	}
-	return slices.Collect(maps.Values(state)), nil
+	return slices.Concat(read...), store.StaleListPosition(read...), nil
 }
 
 func (l *fakeLog) Changes(ctx context.Context, _ string, after store.Position, wait time.Duration) ([]store.Change, store.Position, error) {
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -60,11 +60,11 @@
 	return c.fakeLog.List(ctx, prefix)
 }
 
-func (c *storeConnection) ListStale(ctx context.Context, prefix string) ([]store.Entry, error) {
+func (c *storeConnection) ListStale(ctx context.Context, prefix string) ([]store.Entry, store.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	if err := c.connectionError(ctx); err != nil {
-		return nil, err
+		return nil, store.Position{}, err
 	}
 	return c.fakeLog.ListStale(ctx, prefix)
 }
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -27,11 +27,11 @@
 )
 
 // startFromStale takes the first state from a stale list, and what has changed since from a reader. It reports whether
-// the store answered. Without a reader the caller watches the store from the newest position in the list.
+// the store answered. Without a reader the caller watches the store from the position of the list.
 func (f *Follower) startFromStale(ctx context.Context) bool {
 	start := time.Now()
 	f.searchUntil = start.Add(discoveryTime)
-	entries, err := f.source.ListStale(ctx, "")
+	entries, position, err := f.source.ListStale(ctx, "")
 	switch {
 	case ctx.Err() != nil:
 		return false
@@ -39,7 +39,6 @@
 		f.recordStoreFailure("stale list", start, err)
 		return false
 	}
-	position := newestPosition(entries)
 	if position.Revision == 0 || position.Era > firstEra {
 		// A stale list of a restored store may be from before, with positions that this store never had.
 		entries, position, err = f.source.List(ctx, "")
@@ -85,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeoutMargin)
 	defer cancel()
 	start := time.Now()
-	entries, err := f.source.ListStale(ctx, readersPrefix)
+	entries, _, err := f.source.ListStale(ctx, readersPrefix)
 	if err != nil {
 		f.recordStoreFailure(readersPrefix, start, err)
 		return false, false
@@ -116,13 +115,3 @@
 
 // firstEra is the era of a store that was never restored.
 const firstEra = 1
-
-// newestPosition returns the latest position of the entries, or zero if there are none.
-func newestPosition(entries []store.Entry) (position store.Position) {
-	for _, e := range entries {
-		if e.Position().After(position) {
-			position = e.Position()
-		}
-	}
-	return position
-}
--- a/pkg/store/position.go
+++ b/pkg/store/position.go
@@ -20,5 +20,23 @@
 // Before reports whether the position is earlier than another one.
 func (p Position) Before(o Position) bool { return p.Compare(o) < 0 }
 
+// StaleListPosition returns the latest position up to which a list certainly lacks no change. Each of its pages has its keys
+// as they were at a time of its own, which is not known but not before that of its newest entry. The position is zero if
+// there is no such position, as for an empty page.
+func StaleListPosition(pages ...[]Entry) (complete Position) {
+	for i, page := range pages {
+		var newest Position
+		for _, e := range page {
+			if e.Position().After(newest) {
+				newest = e.Position()
+			}
+		}
+		if i == 0 || newest.Before(complete) {
+			complete = newest
+		}
+	}
+	return complete
+}
+
 // IsZero reports whether the position is unknown.
 func (p Position) IsZero() bool { return p == Position{} }
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -197,9 +197,10 @@
 	// List returns the entries under prefix and a position. The entries may lack changes after that position,
 	// which Changes returns, and an entry may be newer than it. All of them are of the era of the position.
 	List(ctx context.Context, prefix string) ([]Entry, Position, error)
-	// ListStale returns the entries under prefix as they were at some time within the last seconds. It costs a tenth
-	// of List. They may be from before the store was restored.
-	ListStale(ctx context.Context, prefix string) ([]Entry, error)
+	// ListStale returns the entries under prefix as they were within the last seconds, each part of them at a time of
+	// its own, and a position as List does, or zero if it knows none. It costs a tenth of List. The entries may be
+	// from before the store was restored.
+	ListStale(ctx context.Context, prefix string) ([]Entry, Position, error)
 	// Changes waits up to wait for a change under prefix after the given position. It returns the changes and
 	// the position from which to continue, which is of the same era. A NotFound fault means that the store no longer has
 	// the history after that position, or has started another era, so that the entries must be listed again.
