follow: move the position only when the state has the answer

Callers saw an instance send requests to an upstream long after it had said that it leaves: a change that arrived around a freeze was lost for good at this instance.

Cause: an answer of another instance was recorded in the replica, and the position moved, before the answer was handed to the state's owner under the context of the call. When that had ended, select dropped the answer at random. Ruled out: the reader, whose replica has the change, and the transport, which returned it.

Change: Follower.take hands an update over and then records it; nothing else moves a position, and only the end of the state's owner ends the wait. The second copy of the position is gone.

TestOlderStateIsNotTaken sets the replica's position, as the other copy is gone; it checks the same.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -115,10 +115,10 @@
 	fromStore     atomic.Bool               // the latest data came from the store itself
 	current       atomic.Pointer[control.Snapshot]
 	updates       chan update
+	stateEnded    chan struct{} // closed when stateLoop has ended
 	sharedChanged chan struct{}
 
 	// Owned by syncLoop.
-	position     store.Position
 	listed       bool
 	storeFailing bool   // the last call to the store failed
 	isolated     bool   // the last call to the store failed, and no reader has answered since
@@ -128,20 +128,23 @@
 	searchUntil  time.Time // readers may be asked in place of the store until then, however old the data is
 }
 
-// update is one answer of the store or of a reader.
+// update is one answer of the store or of another instance.
 type update struct {
-	full        bool // entries replace everything
-	restored    bool // entries are the first ones of a store that has gone back to a copy
-	afterOutage bool // the store may have been unavailable before this answer
+	source      string // storeOrigin, or the instance that answered
+	full        bool   // entries replace everything
+	restored    bool   // entries are the first ones of a store that has gone back to a copy
+	afterOutage bool   // the store may have been unavailable before this answer
 	entries     []store.Entry
 	changes     []store.Change
+	position    store.Position // up to which nothing is lacking once the update is applied
+	confirmed   time.Time      // when the store last reported the position as its latest one
 }
 
 // New returns a follower without tables.
 func New(opts Options, log logr.Logger) *Follower {
 	f := &Follower{
 		source: opts.Source, codec: opts.Codec, ephemeral: opts.Ephemeral, peers: opts.Peers, self: opts.Self, seeds: opts.Seeds, dial: opts.Dial, log: log,
-		replica: newReplica(), writer: opts.Writer, regions: opts.Regions, counter: newInstanceCounter(), callers: newCallers(), sharedChanged: make(chan struct{}, 1), updates: make(chan update), avoidUntil: map[peer.InstanceID]time.Time{},
+		replica: newReplica(), writer: opts.Writer, regions: opts.Regions, counter: newInstanceCounter(), callers: newCallers(), sharedChanged: make(chan struct{}, 1), updates: make(chan update), stateEnded: make(chan struct{}), avoidUntil: map[peer.InstanceID]time.Time{},
 	}
 	f.current.Store(&control.Snapshot{})
 	metrics.GetOrCreateGauge("turmericsail_store_knowledge_age_seconds", f.replica.age)
@@ -240,7 +243,7 @@
 	deadline := f.storeDeadline()
 	for range maxReaderAttempts {
 		left := time.Until(deadline)
-		if f.actsAsReader() || f.position.IsZero() || ctx.Err() != nil || left < minReaderTimeout-fallbackTimeout {
+		if f.actsAsReader() || f.replica.at().IsZero() || ctx.Err() != nil || left < minReaderTimeout-fallbackTimeout {
 			return false
 		}
 		wait, limit := min(readerWait, max(left, 0)), min(readerWait+readerWaitMargin, left+fallbackTimeout)
@@ -271,7 +274,7 @@
 func (f *Follower) syncFromReader(ctx context.Context, reader Reader, wait, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	r, err := f.requestChanges(ctx, reader.ID, f.position, wait)
+	r, err := f.requestChanges(ctx, reader.ID, f.replica.at(), wait)
 	historyLost := fault.Is(err, fault.NotFound)
 	if historyLost {
 		r, err = f.requestSnapshot(ctx, reader.ID)
@@ -281,16 +284,13 @@
 	}
 	confirmed := time.Now().Add(-r.age)
 	gap := f.replica.sinceConfirmed(confirmed)
-	afterOutage := gap > outageGap
-	restored := historyLost && r.position.Era > f.position.Era
-	if historyLost {
-		f.replica.reset(r.entries, r.position, confirmed)
-	} else {
-		f.replica.apply(r.changes, r.position, confirmed)
+	err = f.take(update{
+		source: string(reader.ID), full: historyLost, restored: historyLost && r.position.Era > f.replica.at().Era, afterOutage: gap > outageGap,
+		entries: r.entries, changes: r.changes, position: r.position, confirmed: confirmed,
+	})
+	if err != nil {
+		return err
 	}
-	f.recordRestored(restored, r.position)
-	f.advance(r.position)
-	f.submit(ctx, update{full: historyLost, restored: restored, afterOutage: afterOutage, entries: r.entries, changes: r.changes})
 	if r.age <= maxFreshAge || historyLost || len(r.changes) > 0 {
 		f.lastReader.Store(&reader)
 	}
@@ -326,17 +326,16 @@
 			continue
 		}
 		f.log.Info("state taken from a seed", "address", address, "era", r.position.Era, "revision", r.position.Revision, "age", r.age.String())
-		f.replica.reset(r.entries, r.position, time.Now().Add(-r.age))
-		f.advance(r.position)
-		f.listed = true
-		f.submit(ctx, update{full: true, afterOutage: true, entries: r.entries})
+		u := update{source: string(id), full: true, afterOutage: true, entries: r.entries, position: r.position, confirmed: time.Now().Add(-r.age)}
+		f.listed = f.take(u) == nil
 		return
 	}
 }
 
 // syncFromStore calls the store once and reports whether it answered.
 func (f *Follower) syncFromStore(ctx context.Context) bool {
-	if f.position.IsZero() {
+	position := f.replica.at()
+	if position.IsZero() {
 		return f.startFromStale(ctx)
 	}
 	failedBefore := f.storeFailing
@@ -349,20 +348,19 @@
 			return done
 		}
 	}
-	u := update{full: !f.listed}
+	u := update{source: storeOrigin, full: !f.listed}
 	requestedAt := time.Now()
 	var err error
-	var next store.Position
 	if u.full {
-		u.entries, next, err = f.source.List(ctx, "")
+		u.entries, u.position, err = f.source.List(ctx, "")
 	} else {
-		u.changes, next, err = f.watch(ctx)
+		u.changes, u.position, err = f.watch(ctx, position)
 	}
 	switch {
 	case ctx.Err() != nil:
 		return false
 	case fault.Is(err, fault.NotFound):
-		f.log.Info("history lost", "era", f.position.Era, "after", f.position.Revision)
+		f.log.Info("history lost", "era", position.Era, "after", position.Revision)
 		f.listed = false
 		f.storeDown.Store(false)
 		return true
@@ -374,31 +372,22 @@
 	f.isolated = false
 	f.storeDown.Store(false)
 	f.fromStore.Store(true)
-	confirmed := time.Now()
-	if !u.full && len(u.changes) == 0 && next.After(f.position) {
+	u.confirmed = time.Now()
+	if !u.full && len(u.changes) == 0 && u.position.After(position) {
 		// The position rose without any event: the watch missed changes while the history was dropped.
-		f.log.Info("changes missed", "after", f.position.Revision, "revision", next.Revision)
-		next, confirmed = f.position, requestedAt
+		f.log.Info("changes missed", "after", position.Revision, "revision", u.position.Revision)
+		u.position, u.confirmed = position, requestedAt
 	}
-	gap := f.replica.sinceConfirmed(confirmed)
+	gap := f.replica.sinceConfirmed(u.confirmed)
 	u.afterOutage = gap > outageGap || failedBefore && gap > failedCallGap
-	if u.full {
-		f.replica.reset(u.entries, next, confirmed)
-	} else {
-		f.replica.apply(u.changes, next, confirmed)
-	}
-	if u.full {
-		u.restored = next.Era > f.position.Era || next.Before(f.position)
-		f.recordRestored(u.restored, next)
-		f.position = next
-	} else {
-		f.advance(next)
+	u.restored = u.full && (u.position.Era > position.Era || u.position.Before(position))
+	if f.take(u) != nil {
+		return false
 	}
 	f.listed = true
 	f.recordLookup(gap)
 	f.recordOrigin(storeOrigin, 0)
-	if len(u.changes) > 0 || u.full || u.afterOutage {
-		f.submit(ctx, u)
+	if u.changesState() {
 		pause.For(ctx, batchPause)
 	}
 	return true
@@ -419,7 +408,7 @@
 // recordStoreAnswer records that the store answered.
 func (f *Follower) recordStoreAnswer() {
 	if f.storeFailing {
-		f.log.Info("store regained", "revision", f.position.Revision)
+		f.log.Info("store regained", "revision", f.replica.at().Revision)
 	}
 	f.storeFailing = false
 }
@@ -430,56 +419,36 @@
 // recordOrigin records the source of the latest fresh answer and logs when it differs from the previous one.
 func (f *Follower) recordOrigin(origin string, age time.Duration) {
 	if f.origin != origin {
-		f.log.Info("origin changed", "from", f.origin, "to", origin, "age", age.String(), "revision", f.position.Revision, "reading", f.isReader.Load())
+		f.log.Info("origin changed", "from", f.origin, "to", origin, "age", age.String(), "revision", f.replica.at().Revision, "reading", f.isReader.Load())
 		f.origin = origin
 	}
 }
 
-// watch asks the store for changes. It waits for one only when the store answered the previous
+// watch asks the store for changes after a position. It waits for one only when the store answered the previous
 // call, so that an unresponsive store blocks the instance no longer than necessary.
-func (f *Follower) watch(ctx context.Context) ([]store.Change, store.Position, error) {
+func (f *Follower) watch(ctx context.Context, after store.Position) ([]store.Change, store.Position, error) {
 	wait := watchWait
 	if f.storeFailing || f.origin != storeOrigin {
 		wait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 	defer cancel()
-	return f.source.Changes(ctx, "", f.position, wait)
-}
-
-// advance moves the position to a later one.
-func (f *Follower) advance(to store.Position) {
-	if to.After(f.position) {
-		f.position = to
-	}
+	return f.source.Changes(ctx, "", after, wait)
 }
 
 // recordRestored logs that the store has gone back, and lets this instance grant nothing for the time of a lease: the store
 // may name another instance as the reader of the region, whose data is not yet of the new era.
-func (f *Follower) recordRestored(restored bool, to store.Position) {
-	if !restored {
-		return
-	}
-	f.log.Info("store restored", "era", f.position.Era, "from", f.position.Revision, "new_era", to.Era, "to", to.Revision)
+func (f *Follower) recordRestored(from, to store.Position) {
+	f.log.Info("store restored", "era", from.Era, "from", from.Revision, "new_era", to.Era, "to", to.Revision)
 	if f.grantsFrom.Load() != nil {
 		from := time.Now().Add(readerLeaseTTL)
 		f.grantsFrom.Store(&from)
 	}
 }
 
-// submit passes an update to stateLoop, which owns the state.
-func (f *Follower) submit(ctx context.Context, u update) {
-	if !u.full && !u.afterOutage && len(u.changes) == 0 {
-		return
-	}
-	select {
-	case f.updates <- u:
-	case <-ctx.Done():
-	}
-}
-
 // stateLoop owns the followed state: it applies updates and expires delayed removals.
 func (f *Follower) stateLoop(ctx context.Context) error {
+	defer close(f.stateEnded)
 	state := newFollowedState(f.codec)
 	var expiry <-chan time.Time
 	for {
--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -1,14 +1,42 @@
 package follow
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/turmericsail/turmericsail/pkg/pause"
+	"github.com/turmericsail/turmericsail/pkg/peer"
 )
 
+// lateAnswers is a transport that can return answers only after the time limit of their call, as on a machine that stood
+// still meanwhile.
+type lateAnswers struct {
+	peer.Transport
+	late atomic.Bool
+}
+
+func (l *lateAnswers) Call(ctx context.Context, to peer.InstanceID, service string, request, response proto.Message) error {
+	err := l.Transport.Call(ctx, to, service, request, response)
+	if err == nil && l.late.Load() {
+		passTimeLimit(ctx)
+	}
+	return err
+}
+
+// passTimeLimit returns after the time limit of a call.
+func passTimeLimit(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		pause.For(context.WithoutCancel(ctx), time.Until(deadline)+time.Millisecond)
+	}
+}
+
 // Guards against an instance that never learns a change: the pages of its first, stale list are of different ages, and the
 // change lies between the time of an older page and the newest entry of a later one.
 func TestStartFromPagesOfDifferentAgesMissesNoChange(t *testing.T) {
@@ -35,3 +63,27 @@
 		}
 	}
 }
+
+// Guards against an instance that never learns a change: the answer with the change arrives as the time limit of its call
+// ends, and the position moves although the answer is dropped.
+func TestAnswerAfterItsTimeLimitIsTaken(t *testing.T) {
+	const upstreams = 16
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleet(t, 4)
+		for i, f := range fl.followers {
+			fl.answers[i].late.Store(!f.isReader.Load())
+		}
+		for n := range upstreams {
+			fl.store.put(fmt.Sprintf("v%02d", n), "up p ready")
+			time.Sleep(time.Second)
+		}
+		for _, answers := range fl.answers {
+			answers.late.Store(false)
+		}
+		time.Sleep(changeBound)
+		for _, f := range fl.followers {
+			is.Equal(len(inService(f)), 2+upstreams)
+		}
+	})
+}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -87,7 +87,7 @@
 // requestSnapshot requests all entries. It fails when the other instance has an earlier position than this one.
 func (f *Follower) requestSnapshot(ctx context.Context, to peer.InstanceID) (readerReply, error) {
 	r, err := f.callInstance(ctx, to, &peerpb.ChangesRequest{Full: true})
-	if err == nil && r.position.Before(f.position) {
+	if err == nil && r.position.Before(f.replica.at()) {
 		err = fault.New(fault.Unavailable, "the instance has an earlier position in the store's history than this one", "ask another one")
 	}
 	return r, err
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -22,11 +22,11 @@
 )
 
 // storeConnection is one instance's connection to the store. It may refuse calls or never answer them,
-// its watches may miss changes, its leases may have ended, and its lists may fail.
+// its watches may miss changes or be answered after their time limit, its leases may have ended, and its lists may fail.
 type storeConnection struct {
 	*fakeLog
-	refused, unresponsive, missesChanges, leaseLost, listFails atomic.Bool
-	writes                                                     atomic.Int64
+	refused, unresponsive, missesChanges, leaseLost, listFails, late atomic.Bool
+	writes                                                           atomic.Int64
 }
 
 func (c *storeConnection) connectionError(ctx context.Context) error {
@@ -80,6 +80,10 @@
 		return nil, after, ctx.Err()
 	}
 	changes, next, err := c.fakeLog.Changes(ctx, prefix, after, wait)
+	if c.late.Load() && err == nil {
+		passTimeLimit(ctx)
+		return changes, next, nil
+	}
 	if cut := c.connectionError(ctx); cut != nil {
 		return nil, store.Position{}, cut
 	}
@@ -169,6 +173,7 @@
 	connections []*storeConnection
 	ids         []peer.InstanceID
 	stops       []context.CancelFunc
+	answers     []*lateAnswers
 }
 
 func newFleet(t *testing.T, size int) *fleet { return newFleetIn(t, size, "north", "south") }
@@ -197,13 +202,15 @@
 	id := peer.InstanceID(fmt.Sprintf("e%d/%s", i, incarnation))
 	node := fl.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i))
 	connection := &storeConnection{fakeLog: fl.store}
+	answers := &lateAnswers{Transport: node}
 	self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: fl.regions[i%len(fl.regions)]}}
-	f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: node, Self: self, Writer: connection, Regions: len(fl.regions)}, logr.Discard())
+	f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: answers, Self: self, Writer: connection, Regions: len(fl.regions)}, logr.Discard())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { _ = f.Run(ctx); close(done) }()
 	t.Cleanup(func() { cancel(); <-done })
 	fl.followers, fl.connections, fl.ids, fl.stops = append(fl.followers, f), append(fl.connections, connection), append(fl.ids, id), append(fl.stops, cancel)
+	fl.answers = append(fl.answers, answers)
 }
 
 // reader returns the index of an instance that reads the store for others.
@@ -460,7 +467,7 @@
 		f := New(Options{Codec: textCodec{}, Peers: fl.net.Join("late/a", "10.0.0.9:1")}, logr.Discard())
 		r, err := f.requestSnapshot(t.Context(), fl.ids[0])
 		is.NoErr(err)
-		f.position = store.Position{Era: r.position.Era, Revision: r.position.Revision + 1}
+		f.replica.reset(nil, store.Position{Era: r.position.Era, Revision: r.position.Revision + 1}, time.Now())
 		_, err = f.requestSnapshot(t.Context(), fl.ids[0])
 		is.True(fault.Is(err, fault.Unavailable))
 	})
--- a/internal/follow/start.go
+++ b/internal/follow/start.go
@@ -48,9 +48,10 @@
 		}
 	}
 	f.recordStoreAnswer()
-	f.replica.reset(entries, position, time.Now().Add(-staleAge))
-	f.position, f.listed = position, true
-	f.submit(ctx, update{full: true, entries: entries})
+	if f.take(update{source: storeOrigin, full: true, entries: entries, position: position, confirmed: time.Now().Add(-staleAge)}) != nil {
+		return false
+	}
+	f.listed = true
 	f.adoptReaders(entries)
 	if f.peers == nil || f.syncFromReaders(ctx, true) {
 		return true
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -32,6 +32,22 @@
 	return &replica{entries: map[string]store.Entry{}, updated: make(chan struct{})}
 }
 
+// at returns the position, which is zero before the first list.
+func (r *replica) at() store.Position {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.position
+}
+
+// record adds an update. Only Follower.take calls it.
+func (r *replica) record(u update) {
+	if u.full {
+		r.reset(u.entries, u.position, u.confirmed)
+		return
+	}
+	r.apply(u.changes, u.position, u.confirmed)
+}
+
 // reset replaces everything by a list, whose position may be an earlier one.
 func (r *replica) reset(entries []store.Entry, position store.Position, confirmed time.Time) {
 	r.mu.Lock()
