entry: start no attempt whose body lacks what another one has read

Callers got 200 for orders that an upstream had run with the first 65,536 bytes of their body.

Cause: whether the body can be sent again was asked before the delay of a retry, and in that delay the attempt that had been rejected early went on reading past the bytes that are kept. Ruled out: the framing of the caller's request, and hedges, which have no body.

Change: rewind takes the body from the failed attempt in the step in which it finds that nothing is missing; open refuses a body whose start is gone. Only the latest attempt may read past the kept bytes. The retry on another connection after a closed one does the same.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -174,7 +174,7 @@
 		}
 		a.conn = conn
 		a.exchange()
-		stale := a.resp == nil && !a.sent && conn.reused && try < maxStaleConns && a.ctx.Err() == nil && a.x.body.replayable()
+		stale := a.resp == nil && !a.sent && conn.reused && try < maxStaleConns && a.ctx.Err() == nil && a.x.body.rewind()
 		if !stale {
 			a.classify()
 			return
@@ -187,15 +187,20 @@
 // exchange sends the request on the attempt's connection and waits for the response header.
 func (a *attempt) exchange() {
 	a.sentAt = time.Now()
-	a.resp, a.sent, a.err = a.conn.roundTrip(a.request())
+	var req *http.Request
+	if req, a.err = a.request(); a.err != nil {
+		a.resp, a.sent = nil, false
+		return
+	}
+	a.resp, a.sent, a.err = a.conn.roundTrip(req)
 	if a.err == nil {
 		a.firstByte = time.Since(a.sentAt)
 	}
 	a.x.logAttempt(a)
 }
 
-// request builds the request for one connection.
-func (a *attempt) request() *http.Request {
+// request builds the request for one connection. It fails if the request's body can't be sent from its first byte.
+func (a *attempt) request() (*http.Request, error) {
 	x := a.x
 	a.deadlineValue[0] = strconv.FormatInt(max(time.Until(a.ctx.deadline).Milliseconds(), 1), 10)
 	if name := x.e.proto.Deadline; name != "" {
@@ -212,7 +217,10 @@
 	}
 	if x.body != nil {
 		req.Trailer = trailerNames(x.r.Trailer)
-		a.body = x.body.reader(req.Trailer)
+		var err error
+		if a.body, err = x.body.open(req.Trailer); err != nil {
+			return nil, err
+		}
 		req.Body, req.ContentLength = a.body, x.r.ContentLength
 		if len(req.Trailer) > 0 {
 			req.ContentLength = -1 // only a chunked body carries trailers
@@ -221,7 +229,7 @@
 		// connection is not reused.
 		req.Close = a.header.Get("Expect") != ""
 	}
-	return req.WithContext(x.with1xxTrace(a.ctx))
+	return req.WithContext(x.with1xxTrace(a.ctx)), nil
 }
 
 // authority returns the host part of the URL. The Host header is the caller's.
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -15,11 +15,13 @@
 	errBodyTooLarge = errors.New("the request body is larger than the limit")
 	errBodySlow     = errors.New("the request body arrives too slowly")
 	errDetached     = errors.New("the attempt has ended")
+	errNotKept      = errors.New("the start of the request body is no longer kept")
 )
 
 // requestBody reads a caller's body once and serves it to successive attempts. It
 // keeps the first keep bytes, so that the request can be retried as long as no more
-// than that was read.
+// than that was read. At most one attempt may read on, the latest one: what an earlier one
+// read past the kept bytes would be missing in the body of the next.
 type requestBody struct {
 	source   io.Reader
 	limit    int64
@@ -34,6 +36,9 @@
 	consumed atomic.Bool // bytes beyond those kept were read, so the body cannot be replayed
 	atEOF    atomic.Bool
 	failure  atomic.Pointer[error]
+
+	readerMu sync.Mutex // held while reader or consumed is set, but not while source is read
+	reader   *attemptBody
 }
 
 // fill reads until the body ends or keep bytes are kept. It reports whether the
@@ -119,14 +124,50 @@
 	return nil
 }
 
-// replayable reports whether another attempt can send the complete body.
+// replayable reports whether another attempt could send the complete body now. That may change until rewind is called.
 func (b *requestBody) replayable() bool {
 	return b == nil || (!b.consumed.Load() && b.failed() == nil)
 }
 
-// reader returns the body for one attempt. It fills trailer at the end of the body.
-func (b *requestBody) reader(trailer http.Header) *attemptBody {
-	return &attemptBody{body: b, trailer: trailer}
+// rewind reports whether another attempt can send the complete body. If so, it takes the body from the latest one, and
+// nothing is read past the kept bytes until the next one does.
+func (b *requestBody) rewind() bool {
+	if b == nil {
+		return true
+	}
+	b.readerMu.Lock()
+	defer b.readerMu.Unlock()
+	if !b.replayable() {
+		return false
+	}
+	b.reader = nil
+	return true
+}
+
+// open takes the body from the latest attempt and returns it for another one, or fails if it cannot be sent from its
+// first byte. At the end of the body, trailer is filled.
+func (b *requestBody) open(trailer http.Header) (*attemptBody, error) {
+	b.readerMu.Lock()
+	defer b.readerMu.Unlock()
+	if err := b.failed(); err != nil {
+		return nil, err
+	}
+	if b.consumed.Load() {
+		return nil, errNotKept
+	}
+	b.reader = &attemptBody{body: b, trailer: trailer}
+	return b.reader, nil
+}
+
+// beginConsuming reports whether an attempt may read past the kept bytes, after which no other one can.
+func (b *requestBody) beginConsuming(a *attemptBody) bool {
+	b.readerMu.Lock()
+	defer b.readerMu.Unlock()
+	if b.reader != a {
+		return false
+	}
+	b.consumed.Store(true)
+	return true
 }
 
 // attemptBody is the request body as read by one attempt.
@@ -156,7 +197,9 @@
 	n := copy(p, b.kept[a.offset:])
 	a.offset += n
 	if n == 0 && b.err == nil {
-		b.consumed.Store(true)
+		if !b.beginConsuming(a) {
+			return 0, errDetached
+		}
 		n = b.read(p)
 	}
 	a.sent.Add(int64(n))
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// mayRetry reports whether another attempt is safe and within the budget. If so, it first waits for
-// the backoff.
+// mayRetry reports whether another attempt is safe and within the budget. If so, it first takes the body from the failed
+// attempt, which would read on otherwise, and waits for the backoff.
 func (x *exchange) mayRetry(a *attempt, n int) bool {
 	switch a.fail {
 	case failUnreached, failShed:
@@ -91,7 +91,7 @@
 	wait, ok := x.e.ports.Retries.Retry(RetryRequest{
 		Pool: &x.pool, Route: &x.route, Attempt: n + 1, Depth: x.depth, CallerBudget: retry.CallerBudget(x.r.Header), Runs: x.runs(),
 	})
-	if !ok || time.Now().Add(wait).After(x.deadline) {
+	if !ok || time.Now().Add(wait).After(x.deadline) || !x.body.rewind() {
 		return false
 	}
 	x.e.metrics.retries(x.pool.Name).Inc()
