entry: write nothing to a caller's response after its request has ended

An instance ended, and with it the requests of all its callers, when an interim response was forwarded to a caller that had left.

Cause: a refusal of a request whose caller has left returned before it forbade interim responses. The connection to the upstream may outlast the request, and its next interim response was written to a response that net/http had finished, in a goroutine of the connection.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -116,6 +116,7 @@
 	x.firstTry = reusesConnection(r.Context()) && e.proto.RetryOpensConnection
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	defer x.forbid1xx() // a connection to an upstream may outlast the request
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/internal/entry/interim_test.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against an instance that ends, with all its requests, because an interim response was forwarded to a caller that
+// had left.
+func TestCallerMayLeaveDuringInterimResponses(t *testing.T) {
+	for name, protocols := range map[string]*http.Protocols{"HTTP/1.1": nil} {
+		t.Run(name, func(t *testing.T) {
+			u := newRawUpstream(t, func(_ int64, c net.Conn) {
+				if _, err := readRequest(c); err != nil {
+					return
+				}
+				for range 30 {
+					if _, err := io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </a.css>\r\n\r\n"); err != nil {
+						return
+					}
+					time.Sleep(100 * time.Microsecond)
+				}
+			})
+			h := newHarness(t, testRoute(), []string{u.addr})
+			client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+			defer client.CloseIdleConnections()
+			var callers sync.WaitGroup
+			for caller := range 16 {
+				callers.Go(func() {
+					for n := range 100 {
+						ctx, cancel := context.WithTimeout(t.Context(), time.Duration(caller+n)*100*time.Microsecond)
+						req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url, nil)
+						if err != nil {
+							t.Error(err)
+							cancel()
+							return
+						}
+						if resp, err := client.Do(req); err == nil {
+							_ = resp.Body.Close()
+						}
+						cancel()
+					}
+				})
+			}
+			callers.Wait()
+		})
+	}
+}
