entry: own no header that net/http still reads for an interim response

An instance ended ("concurrent map iteration and map write") when a caller on HTTP/2 left while an interim response was forwarded to it.

Cause: on HTTP/2, WriteHeader returns without waiting for the frame when the stream is closed, and the frame is still encoded from the live header, from which the header of the interim response was then removed. Ruled out: a check of the request's context, which net/http cancels only after it has let WriteHeader return when the connection ends.

Change: net/http copies a header that has a Content-Length, and sends none with a 1xx response, so one without a value is set meanwhile.

--- a/internal/entry/interim_test.go
+++ b/internal/entry/interim_test.go
@@ -13,7 +13,9 @@
 // Guards against an instance that ends, with all its requests, because an interim response was forwarded to a caller that
 // had left.
 func TestCallerMayLeaveDuringInterimResponses(t *testing.T) {
-	for name, protocols := range map[string]*http.Protocols{"HTTP/1.1": nil} {
+	h2c := new(http.Protocols)
+	h2c.SetUnencryptedHTTP2(true)
+	for name, protocols := range map[string]*http.Protocols{"HTTP/1.1": nil, "HTTP/2": h2c} {
 		t.Run(name, func(t *testing.T) {
 			u := newRawUpstream(t, func(_ int64, c net.Conn) {
 				if _, err := readRequest(c); err != nil {
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -29,7 +29,11 @@
 	}
 	h := x.w.Header()
 	copyEndToEnd(h, http.Header(header))
+	// net/http does not send a Content-Length with a 1xx response, and copies a header that has one. Without the copy,
+	// it goes on reading the header of a caller on HTTP/2 that leaves in this moment.
+	h["Content-Length"] = nil
 	x.w.WriteHeader(code)
+	delete(h, "Content-Length")
 	for name := range header {
 		delete(h, name)
 	}
