entry: bound the 1xx responses to an attempt

An upstream that sent 1xx responses without end held each request until its deadline and the instance's processor all the while; callers got 504, and nothing counted against the upstream.

Cause: net/http bounds 1xx responses only for programs that do not look at them, and forward1xx had no bound of its own.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -49,6 +49,9 @@
 	sent      bool
 	err       error
 	ended     bool
+
+	// Of the 1xx responses; guarded by the exchange's mutex.
+	interimResponses, interimBytes int
 }
 
 // attemptContext reports the request's deadline to placement and dialing, but is
@@ -229,7 +232,7 @@
 		// connection is not reused.
 		req.Close = a.header.Get("Expect") != ""
 	}
-	return req.WithContext(x.with1xxTrace(a.ctx)), nil
+	return req.WithContext(a.with1xxTrace()), nil
 }
 
 // authority returns the host part of the URL. The Host header is the caller's.
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -12,18 +12,34 @@
 
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
 
+// maxInterimResponses bounds the 1xx responses to one attempt. Their headers together are bounded by maxResponseHeader.
+const maxInterimResponses = 64
+
+var errInterimResponses = errors.New("the upstream sent too many 1xx responses")
+
 // with1xxTrace forwards 1xx responses to the caller. They are dropped for requests that may be hedged.
-func (x *exchange) with1xxTrace(ctx context.Context) context.Context {
-	if !x.r.ProtoAtLeast(1, 1) {
-		return ctx
+func (a *attempt) with1xxTrace() context.Context {
+	if !a.x.r.ProtoAtLeast(1, 1) {
+		return a.ctx // net/http bounds them
 	}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: x.forward1xx})
+	return httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{Got1xxResponse: a.forward1xx})
 }
 
-// forward1xx sends a 1xx response to the caller. net/http sends 100 (Continue) itself.
-func (x *exchange) forward1xx(code int, header textproto.MIMEHeader) error {
+// forward1xx sends a 1xx response to the caller. net/http sends 100 (Continue) itself. An error ends the attempt as one
+// whose upstream was lost.
+func (a *attempt) forward1xx(code int, header textproto.MIMEHeader) error {
+	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	a.interimResponses++
+	for name, values := range header {
+		for _, v := range values {
+			a.interimBytes += len(name) + len(v)
+		}
+	}
+	if a.interimResponses > maxInterimResponses || a.interimBytes > maxResponseHeader {
+		return errInterimResponses
+	}
 	if x.no1xx || code == http.StatusContinue {
 		return nil
 	}
