entry: end an interim response that its caller does not read

A request outlasted its deadline for as long as its caller read nothing: its upstream, permit and goroutines stayed in use.

Cause: an interim response is written under the mutex that the watchdog needs to cancel the attempt, and the write itself had no limit.

Change: the write ends at the request's deadline.

--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // endlessUpstream writes a start and then the same bytes again and again, until its connection is closed.
@@ -155,6 +157,27 @@
 	}
 }
 
+// Guards against a request that outlasts its deadline because its caller does not read interim responses.
+func TestCallerThatReadsNoInterimResponse(t *testing.T) {
+	is := is.New(t)
+	const deadline = 500 * time.Millisecond
+	hint := "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", maxResponseHeader/2) + "\r\n\r\n"
+	u := newEndlessUpstream(t, hint, hint)
+	route := testRoute()
+	route.Deadline = table.Duration(deadline)
+	h := newHarness(t, route, []string{u.addr})
+	c, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.(*net.TCPConn).SetReadBuffer(1))
+	for range 64 {
+		_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	time.Sleep(3 * deadline)
+	is.Equal(h.entry.running.Load(), int64(0))
+	is.Equal(u.open.Load(), int64(0))
+}
+
 type observerFunc func(*Observation)
 
 func (f observerFunc) Observe(o *Observation) { f(o) }
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"net/textproto"
 	"sync"
+	"time"
 )
 
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
@@ -48,7 +49,10 @@
 	// net/http does not send a Content-Length with a 1xx response, and copies a header that has one. Without the copy,
 	// it goes on reading the header of a caller on HTTP/2 that leaves in this moment.
 	h["Content-Length"] = nil
+	// The watchdog cannot end this write, which holds the mutex that it needs.
+	_ = x.control.SetWriteDeadline(x.deadline)
 	x.w.WriteHeader(code)
+	_ = x.control.SetWriteDeadline(time.Time{})
 	delete(h, "Content-Length")
 	for name := range header {
 		delete(h, name)
