follow: date an answer no later than it can have been given

Two instances acted for one region: one that had stood still read an answer of the store from before, took it for one of now, and could not reach the store to learn that another had its place.

Cause: an answer counted as given when it was read.

Change: an answer was given within the time limit of its call at the latest, for calls to the store, to readers and to seeds.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -69,6 +69,8 @@
 	// store that was unresponsive may never answer a pending call, so a call and a pause together must be short
 	// enough to learn of a change within 2 s once the store has been back for 3 s.
 	watchTimeoutMargin = 800 * time.Millisecond
+	// storeAnswerLimit is how long after its call an answer of the store was given at the latest.
+	storeAnswerLimit = watchWait + watchTimeoutMargin
 )
 
 // Options holds the dependencies and settings of a Follower.
@@ -274,6 +276,7 @@
 func (f *Follower) syncFromReader(ctx context.Context, reader Reader, wait, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	requestedAt := time.Now()
 	r, err := f.requestChanges(ctx, reader.ID, f.replica.at(), wait)
 	historyLost := fault.Is(err, fault.NotFound)
 	if historyLost {
@@ -282,7 +285,7 @@
 	if err != nil {
 		return err
 	}
-	confirmed := time.Now().Add(-r.age)
+	confirmed := latestAnswerTime(requestedAt, limit).Add(-r.age)
 	gap := f.replica.sinceConfirmed(confirmed)
 	err = f.take(update{
 		source: string(reader.ID), full: historyLost, restored: historyLost && r.position.Era > f.replica.at().Era, afterOutage: gap > outageGap,
@@ -314,6 +317,7 @@
 		if address == f.self.Address {
 			continue
 		}
+		requestedAt := time.Now()
 		seedCtx, cancel := context.WithTimeout(ctx, seedTimeout)
 		id, err := f.dial(seedCtx, address)
 		var r readerReply
@@ -326,7 +330,7 @@
 			continue
 		}
 		f.log.Info("state taken from a seed", "address", address, "era", r.position.Era, "revision", r.position.Revision, "age", r.age.String())
-		u := update{source: string(id), full: true, afterOutage: true, entries: r.entries, position: r.position, confirmed: time.Now().Add(-r.age)}
+		u := update{source: string(id), full: true, afterOutage: true, entries: r.entries, position: r.position, confirmed: latestAnswerTime(requestedAt, seedTimeout).Add(-r.age)}
 		f.listed = f.take(u) == nil
 		return
 	}
@@ -372,7 +376,7 @@
 	f.isolated = false
 	f.storeDown.Store(false)
 	f.fromStore.Store(true)
-	u.confirmed = time.Now()
+	u.confirmed = latestAnswerTime(requestedAt, storeAnswerLimit)
 	if !u.full && len(u.changes) == 0 && u.position.After(position) {
 		// The position rose without any event: the watch missed changes while the history was dropped.
 		f.log.Info("changes missed", "after", position.Revision, "revision", u.position.Revision)
--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -87,3 +87,32 @@
 		}
 	})
 }
+
+// Guards against two instances that act for a region: one of them stood still, takes the answer that it had received before
+// for a new one, and cannot reach the store.
+func TestAnswerReadAfterAFreezeIsNotDatedThen(t *testing.T) {
+	const freeze = 14 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fl := newFleetIn(t, 4, "north")
+		time.Sleep(readerLeaseTTL)
+		r := fl.reader(t)
+		is.True(fl.followers[r].MayGrant(time.Now()))
+		until := time.Now().Add(freeze)
+		fl.connections[r].frozen.Store(&until)
+		fl.store.put("u3", "up p ready") // ends the pending watch
+		fl.net.Pause(fl.ids[r])
+		time.Sleep(freeze - time.Millisecond)
+		fl.connections[r].refused.Store(true)
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			n := 0
+			for _, f := range fl.followers {
+				if f.MayGrant(time.Now()) {
+					n++
+				}
+			}
+			is.Equal(n, 1)
+		}
+	})
+}
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -27,9 +27,18 @@
 	*fakeLog
 	refused, unresponsive, missesChanges, leaseLost, listFails, late atomic.Bool
 	writes                                                           atomic.Int64
+	frozen                                                           atomic.Pointer[time.Time] // the instance stands still until then
+}
+
+// thaw waits until the instance runs.
+func (c *storeConnection) thaw(ctx context.Context) {
+	if until := c.frozen.Load(); until != nil {
+		pause.For(context.WithoutCancel(ctx), time.Until(*until))
+	}
 }
 
 func (c *storeConnection) connectionError(ctx context.Context) error {
+	c.thaw(ctx)
 	if c.unresponsive.Load() {
 		limit := watchWait + clientTimeout
 		if deadline, ok := ctx.Deadline(); ok {
@@ -80,11 +89,12 @@
 		return nil, after, ctx.Err()
 	}
 	changes, next, err := c.fakeLog.Changes(ctx, prefix, after, wait)
+	c.thaw(ctx)
 	if c.late.Load() && err == nil {
 		passTimeLimit(ctx)
 		return changes, next, nil
 	}
-	if cut := c.connectionError(ctx); cut != nil {
+	if cut := c.connectionError(ctx); cut != nil && c.frozen.Load() == nil {
 		return nil, store.Position{}, cut
 	}
 	return changes, next, err
--- a/internal/follow/take.go
+++ b/internal/follow/take.go
@@ -1,6 +1,19 @@
 package follow
 
-import "github.com/turmericsail/turmericsail/pkg/fault"
+import (
+	"time"
+
+	"github.com/turmericsail/turmericsail/pkg/fault"
+)
+
+// latestAnswerTime returns the latest time at which the answer to a call was given that it may wait limit for. An instance that
+// stood still reads an answer long after that, and must not take it for what the store says now.
+func latestAnswerTime(requestedAt time.Time, limit time.Duration) time.Time {
+	if latest := requestedAt.Add(limit); latest.Before(time.Now()) {
+		return latest
+	}
+	return time.Now()
+}
 
 // changesState reports whether the update has anything for the state.
 func (u *update) changesState() bool { return u.full || u.afterOutage || len(u.changes) > 0 }
