follow: refuse rows that are cut off at the size limit

An instance could take a part of the entries of another one for all of them: a compressed answer above 64 MiB was cut off there, and read without an error when the limit falls between two rows. Its position stood all the same.

Change: such an answer fails, and the instance asks another one or the store. Found by looking at every place that moves a position.

Evidence: TestTruncatedRowsAreRefused failed before, passes now.

--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -11,8 +11,10 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
+	"github.com/turmericsail/turmericsail/pkg/peer/peerpb"
 )
 
 // lateAnswers is a transport that can return answers only after the time limit of their call, as on a machine that stood
@@ -116,3 +118,20 @@
 		}
 	})
 }
+
+// Guards against an answer whose entries are cut off at the size limit although its position stands.
+func TestTruncatedRowsAreRefused(t *testing.T) {
+	is := is.New(t)
+	row := &peerpb.ConfigRow{Key: "k", Value: make([]byte, 1<<20)}
+	size := proto.Size(&peerpb.ChangesReply{Rows: []*peerpb.ConfigRow{row}})
+	reply := &peerpb.ChangesReply{}
+	for range maxDecompressed/size + 1 {
+		reply.Rows = append(reply.Rows, row)
+	}
+	pad := maxDecompressed - maxDecompressed/size*size // the limit falls between two rows
+	reply.Rows[0] = &peerpb.ConfigRow{Key: "k", Value: make([]byte, len(row.Value)+pad)}
+	packed, err := compressRows(reply)
+	is.NoErr(err)
+	err = decompressRows(packed)
+	is.True(fault.Is(err, fault.Unavailable))
+}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -152,10 +152,13 @@
 	if err != nil {
 		return err
 	}
-	plain, err := io.ReadAll(io.LimitReader(r, maxDecompressed))
+	plain, err := io.ReadAll(io.LimitReader(r, maxDecompressed+1))
 	if err != nil {
 		return err
 	}
+	if len(plain) > maxDecompressed {
+		return fault.Newf(fault.Unavailable, "read the store", "the answer of the instance has more than %d bytes", maxDecompressed)
+	}
 	var rows peerpb.ChangesReply
 	if err := proto.Unmarshal(plain, &rows); err != nil {
 		return err
