entry: take no response for a request that it does not name

Callers of orders that ran were answered 503, which promises that they have not run: a second answer to a health check, which has no ID, came where the answer to the order was expected.

Cause: a response without an ID was taken for the upstream's own, though upstreams echo the ID in each response. Only a success without a signature and a refusal that says "not run" were excepted.

Change: where upstreams echo IDs, any response without the request's own is rejected; the caller gets 502, or the request another attempt.

Evidence: TestAnswerWithoutAnIDIsNobodys failed for 7 of 7 statuses before, passes now.

--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -25,8 +25,8 @@
 	// Signature is set on every 2xx response of an upstream. A 2xx response without it is treated as
 	// not sent by the upstream.
 	Signature string
-	// EchoesRequestID is set if upstreams repeat the request ID in the response, which makes it
-	// possible to detect a late response to an earlier request.
+	// EchoesRequestID is set if upstreams repeat the request ID in each response. One without it, or with another one,
+	// is then not taken for the response to a request.
 	EchoesRequestID bool
 	// NotRun reports whether a response states that the upstream did not run the request.
 	NotRun func(*http.Response) bool
@@ -81,11 +81,12 @@
 // rejectReason returns why a response cannot be the upstream's response to this request, or "".
 func (p *Protocol) rejectReason(resp *http.Response, id string) string {
 	if p.EchoesRequestID {
-		switch echoed := resp.Header.Get(p.RequestID); {
-		case echoed != "" && echoed != id:
+		switch resp.Header.Get(p.RequestID) {
+		case id:
+		case "":
+			return "the response names no request" // it may be that to a probe, once more
+		default:
 			return "the response belongs to another request"
-		case echoed == "" && p.NotRun(resp):
-			return "the refusal does not name the request that it refuses" // it may be that of an earlier request or a probe
 		}
 	}
 	if p.Signature != "" && resp.StatusCode >= 200 && resp.StatusCode < 300 && resp.Header.Get(p.Signature) == "" {
--- a/internal/entry/repeated_refusal_test.go
+++ b/internal/entry/repeated_refusal_test.go
@@ -109,3 +109,30 @@
 		}
 	}
 }
+
+// Guards against an answer without an ID, as to a health check, that is given to the caller of a request which the upstream
+// runs: 503 and some other statuses promise that it does not.
+func TestAnswerWithoutAnIDIsNobodys(t *testing.T) {
+	for _, status := range []int{200, 404, 408, 421, 429, 500, 503} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			is := is.New(t)
+			var runs atomic.Int64
+			up := newRawUpstream(t, func(_ int64, c net.Conn) {
+				serveRequests(c, func(n int, r *http.Request) string {
+					if r.URL.Path == "/health" {
+						return responseText(status, "")
+					}
+					runs.Add(1)
+					return responseText(status, "") // the answer to the health check once more
+				})
+			})
+			h := newHarness(t, testRoute(), []string{up.addr}, withEcho())
+			_, _, err := h.entry.Ask(context.Background(), &h.pool, h.pool.Upstreams[0], "/health")
+			is.NoErr(err)
+			r := h.do("POST", "/", strings.NewReader("x"), testRequestID, "order")
+			is.Equal(runs.Load(), int64(1))
+			is.Equal(r.status, http.StatusBadGateway)
+			is.Equal(r.header.Get(HeaderOutcome), "")
+		})
+	}
+}
