follow: keep only the latest change of each key for other instances

Every instance kept up to 2,048 changes with their values, so a large configuration that was written hundreds of times took more memory than the machine has; the process ended, and with it the orders that ran.

Cause: what is kept for other instances was bounded in pieces, not in bytes. Change: a change replaces the earlier one of its key. What another instance gets leads to the same state, and what is kept is no larger than the entries themselves.

--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -15,6 +15,7 @@
 	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/peer/peerpb"
+	"github.com/turmericsail/turmericsail/pkg/store"
 )
 
 // lateAnswers is a transport that can return answers only after the time limit of their call, as on a machine that stood
@@ -135,3 +136,34 @@
 	err = decompressRows(packed)
 	is.True(fault.Is(err, fault.Unavailable))
 }
+
+// Guards against an instance whose memory grows with the number of versions of a large value: others need the latest only.
+func TestReplicaKeepsTheLatestVersionOnly(t *testing.T) {
+	is := is.New(t)
+	r := newReplica()
+	r.reset([]store.Entry{{Key: "a", Revision: 5}}, store.Position{Revision: 5}, time.Now())
+	const versions, size = 300, 1 << 20
+	for n := range versions {
+		revision := uint64(6 + 2*n)
+		r.apply([]store.Change{
+			{Entry: store.Entry{Key: "config", Value: make([]byte, size), Revision: revision}},
+			{Entry: store.Entry{Key: fmt.Sprint("u", n%3), Revision: revision + 1}, Deleted: n%2 == 0},
+		}, store.Position{Revision: revision + 1}, time.Now())
+	}
+	last := uint64(5 + 2*versions)
+	for after, want := range map[uint64][]uint64{5: {last - 4, last - 2, last - 1, last}, last - 3: {last - 2, last - 1, last}, last: nil} {
+		changes, position, _, gone := r.changesAfter(t.Context(), store.Position{Revision: after}, 0)
+		is.True(!gone)
+		is.Equal(position.Revision, last)
+		var revisions []uint64
+		for _, c := range changes {
+			revisions = append(revisions, c.Revision)
+		}
+		is.Equal(revisions, want)
+	}
+	kept := 0
+	for _, c := range r.changes {
+		kept += len(c.Value)
+	}
+	is.Equal(kept, size)
+}
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,7 +21,7 @@
 	mu           sync.Mutex
 	initialized  bool
 	entries      map[string]store.Entry
-	changes      []store.Change // ordered by position, complete after historyStart
+	changes      []store.Change // the latest one of each key, ordered by position, complete after historyStart
 	historyStart store.Position
 	position     store.Position // all entries and changes are of its era
 	// confirmed is when the store last reported position as its latest one.
@@ -69,17 +70,19 @@
 	if n := len(r.changes); n > 0 {
 		lastApplied = r.changes[n-1].Position()
 	}
+	latest := map[string]store.Change{}
 	for _, c := range changes {
 		if !c.Position().After(lastApplied) {
 			continue // duplicate; changes of one transaction share a position
 		}
-		r.changes = append(r.changes, c)
+		latest[c.Key] = c
 		if c.Deleted {
 			delete(r.entries, c.Key)
 		} else {
 			r.entries[c.Key] = c.Entry
 		}
 	}
+	r.supersede(latest)
 	if excess := len(r.changes) - maxReplicaChanges; excess > 0 {
 		r.historyStart = r.changes[excess-1].Position()
 		r.changes = slices.Clone(r.changes[excess:])
@@ -90,6 +93,22 @@
 	r.confirm(confirmed)
 }
 
+// supersede adds new changes, one of each key, and drops the earlier ones of their keys: what is kept is then no larger than
+// the entries, however often a large one is written.
+func (r *replica) supersede(latest map[string]store.Change) {
+	if len(latest) == 0 {
+		return
+	}
+	kept := make([]store.Change, 0, len(r.changes)+len(latest)) // answers that are being sent refer to the old ones
+	for _, c := range r.changes {
+		if _, superseded := latest[c.Key]; !superseded {
+			kept = append(kept, c)
+		}
+	}
+	byPosition := func(a, b store.Change) int { return a.Position().Compare(b.Position()) }
+	r.changes = append(kept, slices.SortedFunc(maps.Values(latest), byPosition)...)
+}
+
 func (r *replica) confirm(confirmed time.Time) {
 	if confirmed.After(r.confirmed) {
 		r.confirmed = confirmed
