table: compare a route's prefix with the path as its caller sent it

Requests with an encoded slash ran at another service: the prefix was compared with the decoded path, in which it counts as the end of a segment.

Change: PathAsSent takes the path from the request line. Ruled out as a remedy: RawPath alone, which net/http leaves out or replaces for paths that it would encode in another way.

--- a/pkg/table/match.go
+++ b/pkg/table/match.go
@@ -9,9 +9,9 @@
 
 // Find returns the most specific route that matches the request.
 func (t *Tables) Find(r *http.Request) (Route, bool) {
-	host := hostOnly(r.Host)
+	host, path := hostOnly(r.Host), PathAsSent(r)
 	for i := range t.sortedRoutes {
-		if t.sortedRoutes[i].Match.matches(r, host) {
+		if t.sortedRoutes[i].Match.matches(r, host, path) {
 			return t.sortedRoutes[i], true
 		}
 	}
@@ -76,11 +76,26 @@
 	return len(r.HomeRegions) == 0 || slices.Contains(r.HomeRegions, region)
 }
 
-func (m *Match) matches(r *http.Request, host string) bool {
+// PathAsSent returns the path of a request as its caller sent it, encoded and not normalized.
+func PathAsSent(r *http.Request) string {
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	if _, rest, ok := strings.Cut(target, "://"); ok { // absolute form
+		if _, path, ok := strings.Cut(rest, "/"); ok {
+			return "/" + path
+		}
+		return "/"
+	}
+	return r.URL.EscapedPath()
+}
+
+func (m *Match) matches(r *http.Request, host, path string) bool {
 	if len(m.Hosts) > 0 && !slices.ContainsFunc(m.Hosts, func(h string) bool { return hostMatches(h, host) }) {
 		return false
 	}
-	if !pathHasPrefix(r.URL.Path, m.PathPrefix) {
+	if !pathHasPrefix(path, m.PathPrefix) {
 		return false
 	}
 	if len(m.Methods) > 0 && !slices.Contains(m.Methods, r.Method) {
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -37,6 +37,7 @@
 	// Hosts lists host names, compared without case and port. In "*.example.org" the asterisk matches one label.
 	Hosts []string `json:"hosts,omitempty"`
 	// PathPrefix matches whole path segments; "/" matches every path. A prefix that ends in a slash does not match the path without it.
+	// It is compared with the path as callers send it, so characters that are percent-encoded there are written so.
 	PathPrefix string `json:"path_prefix,omitempty"`
 	// Methods lists HTTP methods.
 	Methods []string `json:"methods,omitempty"`
