entry: forward a path byte for byte

Upstreams got another path than the caller had sent: "|", "^", "{", "}", quotes, backslashes, "#" and bytes above 127 arrived percent-encoded.

Cause: the request line was written from the parsed URL, which encodes what a URL cannot have. Change: where that differs from what was sent, the path is taken as it was sent. A path that begins with two slashes and has such characters is refused with 400 ("bad-target"), as it would be written as an absolute URL.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -214,6 +214,9 @@
 	}
 	u := *x.r.URL
 	u.Scheme, u.Host, u.User = "http", a.authority(), (*url.Userinfo)(nil)
+	if path := table.PathAsSent(x.r); path != u.EscapedPath() {
+		u.Opaque = path // net/url would encode it in another way
+	}
 	req := &http.Request{
 		Method: x.r.Method, URL: &u, Host: x.r.Host, Header: a.header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,6 +173,9 @@
 	if x.r.Method == http.MethodConnect {
 		return refuseMethod()
 	}
+	if path := table.PathAsSent(x.r); strings.HasPrefix(path, "//") && path != x.r.URL.EscapedPath() {
+		return refuseTarget() // net/url would write it as an absolute URL
+	}
 	if limit := int64(x.e.limits().HeaderBytes); limit > 0 && headerSize(x.r) > limit {
 		return refuseHeader(limit)
 	}
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -77,6 +77,10 @@
 	return &Refusal{Status: 501, Kind: "method-not-supported", Message: "CONNECT is not supported", Remedy: "send the request itself"}
 }
 
+func refuseTarget() *Refusal {
+	return &Refusal{Status: 400, Kind: "bad-target", Message: "the path has characters that a URL cannot have", Remedy: "send them percent-encoded"}
+}
+
 func refuseHeader(limit int64) *Refusal {
 	return &Refusal{Status: 431, Kind: "header-too-large", Message: "the request header is larger than " + strconv.FormatInt(limit, 10) + " bytes", Remedy: "send a smaller header", Close: true}
 }
