entry: forward a request ID as its caller sent it

A request ID of more than 128 characters, or with a space, was replaced by one that no caller had sent; upstream, caller and log got that one.

Change: any ID that the header limits let pass is forwarded.

Evidence: TestRequestIDIsForwardedAsSent failed for both before, passes now.

--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -161,11 +161,9 @@
 	}
 }
 
-const maxRequestID = 128
-
-// requestID returns the caller's request ID if it is printable and short, or a new one.
+// requestID returns the caller's request ID, or a new one if there is none.
 func requestID(id string) string {
-	if id != "" && len(id) <= maxRequestID && isToken(id) {
+	if id != "" {
 		return id
 	}
 	var b [16]byte
@@ -173,15 +171,6 @@
 	return hex.EncodeToString(b[:])
 }
 
-func isToken(s string) bool {
-	for i := range len(s) {
-		if s[i] <= ' ' || s[i] > '~' {
-			return false
-		}
-	}
-	return true
-}
-
 // headerSize returns the size in bytes of the request line and header in HTTP/1.1 format.
 func headerSize(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len(" HTTP/1.1\r\nHost: \r\n\r\n ")
--- a/internal/entry/target_test.go
+++ b/internal/entry/target_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 
@@ -55,3 +56,17 @@
 		})
 	}
 }
+
+// Guards against a request ID that the upstream, the caller or the log gets in place of the one that the caller sent.
+func TestRequestIDIsForwardedAsSent(t *testing.T) {
+	address, heads := newHeadRecorder(t)
+	h := newHarness(t, testRoute(), []string{address})
+	for name, id := range map[string]string{"long": strings.Repeat("x", 4000), "with a space": "a b", "with bytes above 127": "caf\xc3\xa9", "short": "1"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			answer := h.sendRaw("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + HeaderRequestID + ": " + id + "\r\n\r\n")
+			is.True(strings.Contains(answer, "\r\n"+HeaderRequestID+": "+id+"\r\n"))
+			is.True(slices.Contains(<-heads, HeaderRequestID+": "+id))
+		})
+	}
+}
