gateway: let settings change before the services are provisioned

The process ended by a nil pointer when SIGHUP came in its first milliseconds, between the start of the settings watch and the provision of the services.

Change: the bounds are kept, and applied to the budgets once these exist.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"reflect"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -72,8 +73,7 @@
 	if err := problems.Err(); err != nil {
 		return err
 	}
-	c.budgets.set(bounds)
-	c.probes.SetLimit(bounds.ProbesPerSecond)
+	c.setBounds(bounds)
 	old := c.cfg
 	old.Platform = nil
 	next := cfg
@@ -85,11 +85,13 @@
 // entryService is the data path with its ports.
 type entryService struct {
 	*entry.Entry
-	cfg     settings.Settings
+	cfg settings.Settings
+	log logr.Logger
+
+	mu      sync.Mutex // settings may change before the service is provisioned
 	bounds  platform.Bounds
-	budgets *retryBudgets
-	probes  *sampled.ProbeBudget
-	log     logr.Logger
+	budgets *retryBudgets        // nil until then
+	probes  *sampled.ProbeBudget // nil until then
 }
 
 var (
@@ -98,6 +100,17 @@
 	_ kernel.Stopper     = (*entryService)(nil)
 )
 
+// setBounds replaces the bounds that the instance keeps.
+func (c *entryService) setBounds(bounds platform.Bounds) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bounds = bounds
+	if c.budgets != nil {
+		c.budgets.set(bounds)
+		c.probes.SetLimit(bounds.ProbesPerSecond)
+	}
+}
+
 // Provision implements kernel.Provisioner.
 func (c *entryService) Provision(k *kernel.Kernel) error {
 	followed, err := kernel.Lookup[*followService](k, ControlFollow)
@@ -113,8 +126,10 @@
 		return err
 	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
+	c.mu.Lock()
 	c.budgets = newRetryBudgets(c.bounds, instances)
 	c.probes = sampled.NewProbeBudget(c.bounds.ProbesPerSecond, instances)
+	c.mu.Unlock()
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
 		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
