entry: let an upstream be silent within the route's answer limit

An answer whose upstream was silent for 15 s after its start was broken off, also when the route allowed more time.

Change: with an answer limit, only that limit bounds the wait for the next bytes; without one a response must still make progress.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -284,12 +284,13 @@
 	}
 }
 
-// watch restarts the watchdog timer for the next read or write of the response. Bytes that
+// watch restarts the watchdog timer for the next read or write of the response. An upstream may be silent until
+// responseDeadline; without one the response must make progress. Bytes that
 // have already been received are still written after responseDeadline.
 func (x *exchange) watch(p phase) {
 	limit := x.e.timing.responseStall
 	if p == phaseReading && !x.responseDeadline.IsZero() {
-		limit = min(limit, max(time.Until(x.responseDeadline), 0))
+		limit = max(time.Until(x.responseDeadline), 0)
 	}
 	x.phase.Store(int32(p))
 	x.watchdog.Reset(limit)
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -14,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/turmericsail/turmericsail/internal/standin"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // Guards against delaying responses in a buffer, against dropping trailers in either
@@ -111,6 +113,26 @@
 	is.True(strings.HasSuffix(taken, "3"))
 }
 
+// Guards against a response that is broken off because its upstream is silent for a while, though the time that the route allows
+// for it has not passed.
+func TestSilenceWithinTheAnswerLimitEndsNoResponse(t *testing.T) {
+	is := is.New(t)
+	const stall = 50 * time.Millisecond
+	up := newRawUpstream(t, func(_ int64, c net.Conn) {
+		if _, err := readRequest(c); err == nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab")
+			time.Sleep(6 * stall)
+			_, _ = io.WriteString(c, "cd")
+		}
+	})
+	route := testRoute()
+	route.AnswerLimit = table.Duration(100 * stall)
+	h := newHarness(t, route, []string{up.addr}, withTiming(func(x *timing) { x.responseStall = stall }))
+	r := h.do("GET", "/", nil)
+	is.NoErr(r.err)
+	is.Equal(r.body, "abcd")
+}
+
 // Guards against a response that stalls forever, and against an aborted response
 // that looks complete, when no other upstream can serve the rest.
 func TestStalledResponseIsAborted(t *testing.T) {
