entry: a panic ends its own request only

A defect that one request met could end the process: copies that are hedged and the forwarding of interim responses have goroutines of their own, in which nothing recovers. Elsewhere net/http recovered, but the line had no request ID, and the permit was never given back.

Change: each of these places recovers, logs the request's ID and the stack, counts, and releases connection and permit.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -49,6 +49,7 @@
 	sent      bool
 	err       error
 	ended     bool
+	hedged    bool // run by a goroutine of its own
 
 	// Of the 1xx responses; guarded by the exchange's mutex.
 	interimResponses, interimBytes int
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -118,6 +118,7 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	defer x.forbid1xx() // a connection to an upstream may outlast the request
+	defer x.recoverServe()
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -28,10 +28,11 @@
 
 // forward1xx sends a 1xx response to the caller. net/http sends 100 (Continue) itself. An error ends the attempt as one
 // whose upstream was lost.
-func (a *attempt) forward1xx(code int, header textproto.MIMEHeader) error {
+func (a *attempt) forward1xx(code int, header textproto.MIMEHeader) (err error) {
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	defer a.recoverForwarding(&err)
 	a.interimResponses++
 	for name, values := range header {
 		for _, v := range values {
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -146,7 +146,12 @@
 	results := make(chan *attempt, 2)
 	start := func(h http.Header, hedge bool) *attempt {
 		a := x.newAttempt(h, x.deadline)
-		go func() { results <- a.run(hedge) }()
+		a.hedged = true
+		go func() {
+			defer func() { results <- a }()
+			defer a.recoverRun()
+			a.run(hedge)
+		}()
 		return a
 	}
 	second := maps.Clone(header)
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -111,6 +111,11 @@
 	return t.counter("turmericsail_aborted_answers_total{route=%q}", route)
 }
 
+// panics counts requests that ended by a defect of this instance.
+func (t *telemetry) panics(route string) *metrics.Counter {
+	return t.counter("turmericsail_request_panics_total{route=%q}", route)
+}
+
 func (t *telemetry) regionBytes(to string) *metrics.Counter {
 	return t.counter("turmericsail_region_bytes_total{to=%q}", to)
 }
