--- a/internal/follow/drawn_test.go
+++ b/internal/follow/drawn_test.go
@@ -87,6 +87,8 @@
 
 // differences compares what each instance holds with what the store holds.
 func (d *drawnFleet) differences() (found []string) {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
 	var ready []string
 	for _, key := range slices.Sorted(maps.Keys(d.store.entries)) {
 		if string(d.store.entries[key].Value) == "up p ready" {
