follow: supersede changes of large values only

On reading the change before: an instance that lags saw only the removal of an upstream's entry in place of its leaving and its removal, and holds a removal back after an outage, but not one of an upstream that leaves. Only changes of values above 4 KiB, as configurations are, are superseded now; at most 2,048 smaller ones are kept.

--- a/internal/follow/position_test.go
+++ b/internal/follow/position_test.go
@@ -137,8 +137,9 @@
 	is.True(fault.Is(err, fault.Unavailable))
 }
 
-// Guards against an instance whose memory grows with the number of versions of a large value: others need the latest only.
-func TestReplicaKeepsTheLatestVersionOnly(t *testing.T) {
+// Guards against an instance whose memory grows with the number of versions of a large value, of which others need the latest
+// only, and against one that no longer passes on that an upstream leaves.
+func TestReplicaKeepsTheLatestLargeVersionOnly(t *testing.T) {
 	is := is.New(t)
 	r := newReplica()
 	r.reset([]store.Entry{{Key: "a", Revision: 5}}, store.Position{Revision: 5}, time.Now())
@@ -151,7 +152,7 @@
 		}, store.Position{Revision: revision + 1}, time.Now())
 	}
 	last := uint64(5 + 2*versions)
-	for after, want := range map[uint64][]uint64{5: {last - 4, last - 2, last - 1, last}, last - 3: {last - 2, last - 1, last}, last: nil} {
+	for after, want := range map[uint64][]uint64{last - 5: {last - 4, last - 2, last - 1, last}, last - 1: {last}, last: nil} {
 		changes, position, _, gone := r.changesAfter(t.Context(), store.Position{Revision: after}, 0)
 		is.True(!gone)
 		is.Equal(position.Revision, last)
@@ -161,6 +162,7 @@
 		}
 		is.Equal(revisions, want)
 	}
+	is.Equal(len(r.changes), versions+1) // all small ones, and one large one
 	kept := 0
 	for _, c := range r.changes {
 		kept += len(c.Value)
--- a/internal/follow/tail.go
+++ b/internal/follow/tail.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,13 +14,17 @@
 // further behind requests all entries.
 const maxReplicaChanges = 2048
 
+// supersededSize is the size in bytes of a value above which only the latest change of its key is kept. Smaller ones are all
+// kept: that an upstream leaves tells more than the removal of its entry that follows.
+const supersededSize = 4 << 10
+
 // replica is a copy of the store's entries and latest changes in their stored form, from which
 // other instances are served.
 type replica struct {
 	mu           sync.Mutex
 	initialized  bool
 	entries      map[string]store.Entry
-	changes      []store.Change // the latest one of each key, ordered by position, complete after historyStart
+	changes      []store.Change // ordered by position, complete after historyStart but for superseded ones
 	historyStart store.Position
 	position     store.Position // all entries and changes are of its era
 	// confirmed is when the store last reported position as its latest one.
@@ -70,19 +73,20 @@
 	if n := len(r.changes); n > 0 {
 		lastApplied = r.changes[n-1].Position()
 	}
-	latest := map[string]store.Change{}
+	superseded := map[string]bool{}
 	for _, c := range changes {
 		if !c.Position().After(lastApplied) {
 			continue // duplicate; changes of one transaction share a position
 		}
-		latest[c.Key] = c
+		superseded[c.Key] = superseded[c.Key] || len(r.entries[c.Key].Value) > supersededSize
+		r.changes = append(r.changes, c)
 		if c.Deleted {
 			delete(r.entries, c.Key)
 		} else {
 			r.entries[c.Key] = c.Entry
 		}
 	}
-	r.supersede(latest)
+	r.dropSuperseded(superseded)
 	if excess := len(r.changes) - maxReplicaChanges; excess > 0 {
 		r.historyStart = r.changes[excess-1].Position()
 		r.changes = slices.Clone(r.changes[excess:])
@@ -93,20 +97,21 @@
 	r.confirm(confirmed)
 }
 
-// supersede adds new changes, one of each key, and drops the earlier ones of their keys: what is kept is then no larger than
-// the entries, however often a large one is written.
-func (r *replica) supersede(latest map[string]store.Change) {
-	if len(latest) == 0 {
-		return
-	}
-	kept := make([]store.Change, 0, len(r.changes)+len(latest)) // answers that are being sent refer to the old ones
-	for _, c := range r.changes {
-		if _, superseded := latest[c.Key]; !superseded {
+// dropSuperseded drops all changes but the latest one of keys whose value was large, however often it is written: what is kept
+// is then bounded by the entries and by maxReplicaChanges small values.
+func (r *replica) dropSuperseded(keys map[string]bool) {
+	kept := make([]store.Change, 0, len(r.changes)) // answers that are being sent refer to the old ones
+	seen := map[string]bool{}
+	for _, c := range slices.Backward(r.changes) {
+		if !keys[c.Key] || !seen[c.Key] {
 			kept = append(kept, c)
 		}
+		seen[c.Key] = true
+	}
+	if len(kept) < len(r.changes) {
+		slices.Reverse(kept)
+		r.changes = kept
 	}
-	byPosition := func(a, b store.Change) int { return a.Position().Compare(b.Position()) }
-	r.changes = append(kept, slices.SortedFunc(maps.Values(latest), byPosition)...)
 }
 
 func (r *replica) confirm(confirmed time.Time) {
