entry: answer at once when an upstream is lost during an upload

A caller that paused in the middle of its body learned only when it went on that the upstream had gone.

Cause: an attempt ends once the pending read of the caller's body has ended, and nothing can take that read back. Change: reads from the caller run in a goroutine of their own; an attempt whose upstream has closed the connection, or that has ended, does not wait for it, and the next attempt gets its bytes. Past the kept bytes only the latest attempt starts one.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -225,7 +225,7 @@
 	if x.body != nil {
 		req.Trailer = trailerNames(x.r.Trailer)
 		var err error
-		if a.body, err = x.body.open(req.Trailer); err != nil {
+		if a.body, err = x.body.open(req.Trailer, a.conn.counted.lost); err != nil {
 			return nil, err
 		}
 		req.Body, req.ContentLength = a.body, x.r.ContentLength
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -22,6 +22,9 @@
 // keeps the first keep bytes, so that the request can be retried as long as no more
 // than that was read. At most one attempt may read on, the latest one: what an earlier one
 // read past the kept bytes would be missing in the body of the next.
+//
+// A read from the caller cannot be taken back, so for attempts it runs in a goroutine of its own. An attempt that ends
+// does not wait for it; the next one gets its bytes.
 type requestBody struct {
 	source   io.Reader
 	limit    int64
@@ -29,25 +32,36 @@
 	trailer  http.Header // of the caller's request, complete at the end of source
 	progress *progressMonitor
 
-	mu       sync.Mutex // held while source is read
-	kept     []byte
-	err      error
+	mu      sync.Mutex // not held while source is read
+	kept    []byte
+	ahead   []byte // read past the kept bytes and not yet taken by the reader
+	buf     []byte // the buffer of ahead
+	err     error  // of source
+	reader  *attemptBody
+	reading bool
+	changed chan struct{} // closed when a read has ended
+
 	arrived  atomic.Int64
 	consumed atomic.Bool // bytes beyond those kept were read, so the body cannot be replayed
 	atEOF    atomic.Bool
 	failure  atomic.Pointer[error]
+}
 
-	readerMu sync.Mutex // held while reader or consumed is set, but not while source is read
-	reader   *attemptBody
+func newRequestBody(source io.Reader, limit int64, keep int, trailer http.Header, progress *progressMonitor) *requestBody {
+	return &requestBody{source: source, limit: limit, keep: keep, trailer: trailer, progress: progress, changed: make(chan struct{})}
 }
 
 // fill reads until the body ends or keep bytes are kept. It reports whether the
-// complete body is kept.
+// complete body is kept. No attempt may be reading.
 func (b *requestBody) fill() (complete bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for b.err == nil && len(b.kept) < b.keep {
-		b.readKept()
+		p := b.keptSpace()
+		b.mu.Unlock()
+		n, err := b.read(p)
+		b.mu.Lock()
+		b.store(n, err, false)
 	}
 	if b.err != nil && b.err != io.EOF {
 		return false, b.err
@@ -58,26 +72,63 @@
 // start returns the bytes that are kept, whether they are the complete body, and whether they are all that can be kept. It
 // does not wait for a read from the caller that is in progress, after which the body could not be complete.
 func (b *requestBody) start() (kept string, complete, enough bool) {
-	if !b.mu.TryLock() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reading {
 		return "", false, false
 	}
-	defer b.mu.Unlock()
 	complete = b.err == io.EOF && !b.consumed.Load()
 	return string(b.kept), complete, complete || len(b.kept) >= b.keep
 }
 
-func (b *requestBody) readKept() {
-	if cap(b.kept)-len(b.kept) == 0 {
+// keptSpace returns the space after the kept bytes.
+func (b *requestBody) keptSpace() []byte {
+	if cap(b.kept) == len(b.kept) {
 		grown := make([]byte, len(b.kept), min(max(2*cap(b.kept), 4<<10), b.keep))
 		copy(grown, b.kept)
 		b.kept = grown
 	}
-	n := b.read(b.kept[len(b.kept):cap(b.kept)])
-	b.kept = b.kept[:len(b.kept)+n]
+	return b.kept[len(b.kept):cap(b.kept)]
+}
+
+// aheadSize is the size in bytes of the buffer for what is read past the kept bytes.
+const aheadSize = 32 << 10
+
+// fetch starts a read from the caller if none is in progress. With the kept bytes all taken, only the reader may start one,
+// after which no other attempt can send the body.
+func (b *requestBody) fetch(a *attemptBody) error {
+	if b.reading {
+		return nil
+	}
+	past := len(b.kept) >= b.keep
+	var p []byte
+	if past {
+		if b.reader != a {
+			return errDetached
+		}
+		if b.buf == nil {
+			b.buf = make([]byte, aheadSize)
+		}
+		p = b.buf
+		b.consumed.Store(true)
+	} else {
+		p = b.keptSpace()
+	}
+	b.reading = true
+	go func() {
+		n, err := b.read(p)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.store(n, err, past)
+		b.reading = false
+		close(b.changed)
+		b.changed = make(chan struct{})
+	}()
+	return nil
 }
 
-// read reads from the caller and records the end of the body or an error.
-func (b *requestBody) read(p []byte) int {
+// read reads from the caller.
+func (b *requestBody) read(p []byte) (int, error) {
 	b.progress.beginRead()
 	n, err := b.source.Read(p)
 	slow := b.progress.endRead(n)
@@ -88,6 +139,16 @@
 	case err != nil && err != io.EOF && slow:
 		err = errBodySlow
 	}
+	return n, err
+}
+
+// store records what a read returned.
+func (b *requestBody) store(n int, err error, past bool) {
+	if past {
+		b.ahead = b.buf[:n]
+	} else {
+		b.kept = b.kept[:len(b.kept)+n]
+	}
 	if err != nil {
 		b.err = err
 		b.atEOF.Store(err == io.EOF)
@@ -95,7 +156,6 @@
 			b.failure.Store(&err)
 		}
 	}
-	return n
 }
 
 // complete reports whether the body was received to its end. A nil body is complete.
@@ -135,8 +195,8 @@
 	if b == nil {
 		return true
 	}
-	b.readerMu.Lock()
-	defer b.readerMu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if !b.replayable() {
 		return false
 	}
@@ -145,37 +205,28 @@
 }
 
 // open takes the body from the latest attempt and returns it for another one, or fails if it cannot be sent from its
-// first byte. At the end of the body, trailer is filled.
-func (b *requestBody) open(trailer http.Header) (*attemptBody, error) {
-	b.readerMu.Lock()
-	defer b.readerMu.Unlock()
+// first byte. Reads fail once lost is closed. At the end of the body, trailer is filled.
+func (b *requestBody) open(trailer http.Header, lost <-chan struct{}) (*attemptBody, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if err := b.failed(); err != nil {
 		return nil, err
 	}
 	if b.consumed.Load() {
 		return nil, errNotKept
 	}
-	b.reader = &attemptBody{body: b, trailer: trailer}
+	b.reader = &attemptBody{body: b, trailer: trailer, lost: lost, closed: make(chan struct{})}
 	return b.reader, nil
 }
 
-// beginConsuming reports whether an attempt may read past the kept bytes, after which no other one can.
-func (b *requestBody) beginConsuming(a *attemptBody) bool {
-	b.readerMu.Lock()
-	defer b.readerMu.Unlock()
-	if b.reader != a {
-		return false
-	}
-	b.consumed.Store(true)
-	return true
-}
-
 // attemptBody is the request body as read by one attempt.
 type attemptBody struct {
 	body    *requestBody
 	trailer http.Header
 	offset  int
-	closed  atomic.Bool
+	lost    <-chan struct{} // closed when the upstream has gone
+	closed  chan struct{}
+	close   sync.Once
 	atEOF   atomic.Bool
 	sent    atomic.Int64
 }
@@ -185,31 +236,64 @@
 	if len(p) == 0 {
 		return 0, nil
 	}
+	for {
+		n, wait, err := a.take(p)
+		if wait == nil {
+			a.sent.Add(int64(n))
+			return n, err
+		}
+		select {
+		case <-wait:
+		case <-a.closed:
+			return 0, errDetached
+		case <-a.lost:
+			return 0, errDetached
+		}
+	}
+}
+
+// take returns bytes that have been read, or the error of the body. If there is neither, it returns a channel that is closed when
+// a read has ended.
+func (a *attemptBody) take(p []byte) (n int, wait <-chan struct{}, err error) {
 	b := a.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if a.closed.Load() {
-		return 0, errDetached
+	if a.isClosed() {
+		return 0, nil, errDetached
 	}
-	if a.offset == len(b.kept) && b.err == nil && !b.consumed.Load() && len(b.kept) < b.keep {
-		b.readKept()
+	if b.err == errBodyTooLarge {
+		return 0, nil, b.err
 	}
-	n := copy(p, b.kept[a.offset:])
-	a.offset += n
-	if n == 0 && b.err == nil {
-		if !b.beginConsuming(a) {
-			return 0, errDetached
-		}
-		n = b.read(p)
+	if n = copy(p, b.kept[a.offset:]); n > 0 {
+		a.offset += n
+		return n, nil, nil
+	}
+	if b.consumed.Load() && b.reader != a {
+		return 0, nil, errDetached
 	}
-	a.sent.Add(int64(n))
-	if n > 0 && b.err != errBodyTooLarge {
-		return n, nil
+	if n = copy(p, b.ahead); n > 0 {
+		b.ahead = b.ahead[n:]
+		return n, nil, nil
 	}
 	if b.err == io.EOF {
 		a.finish()
 	}
-	return 0, b.err
+	if b.err != nil {
+		return 0, nil, b.err
+	}
+	if err := b.fetch(a); err != nil {
+		return 0, nil, err
+	}
+	return 0, b.changed, nil
+}
+
+func (a *attemptBody) isClosed() bool {
+	select {
+	case <-a.closed:
+		return true
+	default:
+		return false
+	}
 }
 
 func (a *attemptBody) finish() {
@@ -221,6 +305,6 @@
 
 // Close implements io.Closer. It leaves the caller's body open, because a later attempt may read it.
 func (a *attemptBody) Close() error {
-	a.closed.Store(true)
+	a.close.Do(func() { close(a.closed) })
 	return nil
 }
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -17,10 +18,12 @@
 	sent    atomic.Int64
 	reading atomic.Bool     // a Read is waiting, so its caller has used all bytes before
 	raw     syscall.RawConn // nil if it is not a socket
+	lost    chan struct{}   // closed when a Read has failed, after which no response can arrive
+	lose    sync.Once
 }
 
 func newCountedConn(c net.Conn) *countedConn {
-	counted := &countedConn{Conn: c}
+	counted := &countedConn{Conn: c, lost: make(chan struct{})}
 	if socket, ok := c.(syscall.Conn); ok {
 		if raw, err := socket.SyscallConn(); err == nil { // without it, only what was read is known
 			counted.raw = raw
@@ -34,6 +37,9 @@
 	c.reading.Store(true)
 	n, err := c.Conn.Read(p)
 	c.reading.Store(false)
+	if err != nil {
+		c.lose.Do(func() { close(c.lost) })
+	}
 	return n, err
 }
 
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -37,10 +37,7 @@
 		keep = int(n) + 1 // with one more byte, a read reaches the end of the body
 	}
 	interrupt := func() { _ = x.control.SetReadDeadline(time.Unix(1, 0)) }
-	x.body = &requestBody{
-		source: x.r.Body, limit: x.bodyLimit(), keep: keep, trailer: x.r.Trailer,
-		progress: newProgressMonitor(x.e.timing.body, interrupt),
-	}
+	x.body = newRequestBody(x.r.Body, x.bodyLimit(), keep, x.r.Trailer, newProgressMonitor(x.e.timing.body, interrupt))
 	// Otherwise net/http reads the rest of the body before it writes the response.
 	_ = x.control.EnableFullDuplex()
 }
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -80,6 +82,26 @@
 	is.Equal(resp.StatusCode, http.StatusBadGateway)
 }
 
+// Guards against a connection that a refused caller holds for as long as it pauses in the middle of its body.
+func TestRefusalDuringAnUploadClosesTheConnection(t *testing.T) {
+	const bound = 2 * time.Second
+	is := is.New(t)
+	upstream := newRawUpstream(t, func(_ int64, c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_ = c.Close()
+	})
+	h := newHarness(t, testRoute(), []string{upstream.addr})
+	c, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer c.Close()
+	_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n"))
+	is.NoErr(err)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(bound)))
+	answer, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 502 "))
+}
+
 // Guards against sending a suspect request again to an upstream that it may have
 // crashed: that upstream could be lost again without new evidence against the request.
 func TestSuspectAvoidsLostUpstreams(t *testing.T) {
