--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -53,7 +53,7 @@
 	// maxEndlessHeap bounds the memory that the requests of a test hold at any time, in the upstream and the callers too: half of
 	// that of the smallest machine, 184 MB.
 	maxEndlessHeap = 92_000_000
-	// maxEndlessTime bounds the time until a request has ended that is answered without end: most of the 2 s are for a busy machine.
+	// maxEndlessTime bounds the time until a request has ended that is answered without end.
 	maxEndlessTime = 2 * time.Second
 )
 
--- a/internal/entry/replay_test.go
+++ b/internal/entry/replay_test.go
@@ -25,8 +25,7 @@
 
 func (d delayedRetries) Retry(r RetryRequest) (time.Duration, bool) { return d.delay, r.Attempt <= 3 }
 
-// newEarlyRejectingUpstream rejects each request as not run after some bytes of its body and then reads on. Any number of
-// 1xx responses may come first.
+// newEarlyRejectingUpstream rejects each request as not run after some bytes of its body and then reads on.
 func newEarlyRejectingUpstream(t testing.TB, after int64, answer string) *rawUpstream {
 	return newRawUpstream(t, func(_ int64, c net.Conn) {
 		r, err := http.ReadRequest(bufio.NewReader(c))
