placement, entry: callers that uncrowded upstreams refuse return within their target

Cause: a request that upstreams refuse and that may not be sent again was answered with a fixed Retry-After of 1 s, whatever the target of its route (here 1.2 s, with work of 420 ms).

Change: the delay is that of a request that placement refuses, 0.1 to 0.3 of the target, if the target can still be met and the pool is not crowded. Otherwise it stays at 1 s.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -94,9 +94,7 @@
 	x.mu.Unlock()
 	pool := x.currentPool()
 	exclude = withoutLosses(&pool, &x.route, exclude, x.avoid)
-	permit, err := x.e.ports.Placement.Acquire(a.ctx, AcquireRequest{
-		Pool: &pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.callerElapsed),
-	})
+	permit, err := x.e.ports.Placement.Acquire(a.ctx, x.acquireRequest(&pool, exclude, hedge))
 	if err != nil {
 		a.stop(failPlacement, err)
 		return a
@@ -118,6 +116,13 @@
 	return a
 }
 
+// acquireRequest describes an attempt to placement.
+func (x *exchange) acquireRequest(pool *table.Pool, exclude []string, hedge bool) AcquireRequest {
+	return AcquireRequest{
+		Pool: pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.callerElapsed),
+	}
+}
+
 // withoutLosses adds the upstreams that the request is kept from to the excluded ones. Those that were lost while they
 // ran it are among them: losing the same upstream twice gives no new evidence against the request. If no other upstream is eligible, exclude is returned unchanged.
 func withoutLosses(pool *table.Pool, route *table.Route, exclude, lost []string) []string {
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -36,6 +36,12 @@
 	Acquire(ctx context.Context, r AcquireRequest) (Permit, error)
 }
 
+// ShedAdvisor is a Placement that knows when a caller should return whose request was refused by upstreams.
+type ShedAdvisor interface {
+	// RetryAfterShed returns that delay, or false if the usual one applies.
+	RetryAfterShed(r AcquireRequest, deadline time.Time) (time.Duration, bool)
+}
+
 // Permit allows one attempt on one upstream.
 type Permit interface {
 	Upstream() table.Upstream
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -128,7 +128,7 @@
 }
 
 func refuseShed(after time.Duration) *Refusal {
-	return &Refusal{Status: 503, Kind: "upstream-shed", Message: "the upstreams refuse work", Remedy: "try again with a delay", RetryAfter: max(after, defaultRetryAfter)}
+	return &Refusal{Status: 503, Kind: "upstream-shed", Message: "the upstreams refuse work", Remedy: "try again with a delay", RetryAfter: after}
 }
 
 func refuseClaim(kind, message, remedy string, status int) *Refusal {
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -119,12 +119,12 @@
 	case failShed:
 		after, _ := strconv.Atoi(a.resp.Header.Get("Retry-After"))
 		a.discardFailure()
-		return nil, refuseShed(time.Duration(min(max(after, 0), maxRetryAfter)) * time.Second)
+		return nil, refuseShed(max(time.Duration(min(max(after, 0), maxRetryAfter))*time.Second, x.retryAfterShed()))
 	case failBusy:
 		if !a.ended {
 			return a, nil
 		}
-		return nil, refuseShed(0)
+		return nil, refuseShed(x.retryAfterShed())
 	case failDeadline:
 		return nil, refuseDeadline()
 	case failBody:
@@ -133,6 +133,16 @@
 	return nil, refuseUpstream()
 }
 
+// retryAfterShed returns the delay after which the caller may return when upstreams refused its request and stated none.
+func (x *exchange) retryAfterShed() time.Duration {
+	if advisor, ok := x.e.ports.Placement.(ShedAdvisor); ok {
+		if after, ok := advisor.RetryAfterShed(x.acquireRequest(&x.pool, nil, false), x.deadline); ok {
+			return after
+		}
+	}
+	return defaultRetryAfter
+}
+
 // maxRetryAfter bounds a Retry-After that is taken from an upstream, in seconds.
 const maxRetryAfter = 3600
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -25,8 +25,9 @@
 }
 
 var (
-	_ entry.Placement = (*placementAdapter)(nil)
-	_ sampled.Prober  = (*placementAdapter)(nil)
+	_ entry.Placement   = (*placementAdapter)(nil)
+	_ entry.ShedAdvisor = (*placementAdapter)(nil)
+	_ sampled.Prober    = (*placementAdapter)(nil)
 )
 
 func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, limits *intakeService, log logr.Logger) {
@@ -50,15 +51,22 @@
 
 // Acquire implements entry.Placement.
 func (p *placementAdapter) Acquire(ctx context.Context, r entry.AcquireRequest) (entry.Permit, error) {
-	c, err := p.policy.Choose(ctx, sampled.Request{
-		ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge,
-	})
+	c, err := p.policy.Choose(ctx, sampledRequest(r))
 	if err != nil {
 		return nil, err
 	}
 	return permit{c}, nil
 }
 
+// RetryAfterShed implements entry.ShedAdvisor.
+func (p *placementAdapter) RetryAfterShed(r entry.AcquireRequest, deadline time.Time) (time.Duration, bool) {
+	return p.policy.RetryAfterShed(sampledRequest(r), deadline)
+}
+
+func sampledRequest(r entry.AcquireRequest) sampled.Request {
+	return sampled.Request{ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge}
+}
+
 type permit struct{ *sampled.Choice }
 
 // Upstream implements entry.Permit.
--- a/pkg/placement/sampled/refuse.go
+++ b/pkg/placement/sampled/refuse.go
@@ -1,6 +1,9 @@
 package sampled
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 const (
 	// retrySoonMin is the shortest retry delay, as a share of the target, of a request that can still meet its
@@ -32,15 +35,44 @@
 // retryLaterShare of the time until the deadline, so that a retry may meet a lower
 // load. point is uniform in [0, 1).
 func (ch *chooser) retryAfter(now time.Time, point float64) time.Duration {
-	target := float64(ch.target)
-	soon := time.Duration((retrySoonMin + point*(retrySoonMax-retrySoonMin)) * target)
-	if now.Add(soon).Sub(ch.start)+time.Duration(workShare*target) < ch.target {
+	soon := ch.retrySoon(point)
+	if ch.meetsTarget(now.Add(soon)) {
 		return soon
 	}
 	later := time.Duration(retryLaterShare * float64(ch.deadline.Sub(now)))
 	return max(time.Duration((0.4+0.6*point)*float64(later)), soon)
 }
 
+// retrySoon returns the delay before the retry of a request that can still meet its target.
+func (ch *chooser) retrySoon(point float64) time.Duration {
+	return time.Duration((retrySoonMin + point*(retrySoonMax-retrySoonMin)) * float64(ch.target))
+}
+
+// meetsTarget reports whether a request that returns at the given time can still meet its target.
+func (ch *chooser) meetsTarget(returns time.Time) bool {
+	return returns.Sub(ch.start)+time.Duration(workShare*float64(ch.target)) < ch.target
+}
+
+// retryAfterShed returns the delay after which a caller may retry whose request was refused by the upstreams that it was
+// sent to, or false if nothing speaks for another delay than the usual one. The load that it answers: upstreams that
+// refuse a part of their requests although they have free slots. A request that returns soon then still meets its
+// target. While the pool is crowded, the refusals are due to load, which an early return adds to.
+func (ch *chooser) retryAfterShed(now time.Time, point float64) (time.Duration, bool) {
+	if ch.overloaded() || ch.pool.mostlyFull() {
+		return 0, false
+	}
+	after := ch.retrySoon(point)
+	return after, ch.meetsTarget(now.Add(after))
+}
+
+// RetryAfterShed returns the delay after which a caller may retry whose request was refused by upstreams, or false if the
+// usual one applies.
+func (p *Policy) RetryAfterShed(r Request, deadline time.Time) (time.Duration, bool) {
+	recent := p.poolPressure(r.Pool.Name)
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: recent.level(), pool: recent}
+	return ch.retryAfterShed(time.Now(), rand.Float64())
+}
+
 // maxSpread bounds the time over which callers return that were refused until the same moment.
 const maxSpread = time.Second
 
