table, follow: types of workspaces; design note

Workspaces with API keys are decided by every instance alone from the tables in force. A workspace holds hashes of its keys only. Tables get workspaces by a method, so that the callers of NewTables stay as they are.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -41,7 +41,8 @@
 
 	route             table.Route
 	pool              table.Pool
-	workspace         string
+	workspace         string           // names the workspace in metrics, queues and fingerprints
+	keyWorkspace      *table.Workspace // the workspace of the key; nil if there is no key
 	id                string
 	start             time.Time
 	deadline          time.Time     // for the start of the response
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -18,6 +18,8 @@
 	Version uint64
 	Routes  []table.Route
 	Pools   []table.Pool
+	// Workspaces is empty in deployments without API keys.
+	Workspaces []table.Workspace
 	// Limits bounds what callers may send; zero fields are not limited by the operator.
 	Limits settings.Limits
 }
@@ -280,5 +282,6 @@
 		pools[i].FailureDomainsOut = evacuated
 		pools[i].Slots = max(slots[pools[i].Discover], 1)
 	}
-	return discovery.Apply(table.NewTables(s.config.Version, s.config.Routes, pools), lists)
+	tables := table.NewTables(s.config.Version, s.config.Routes, pools).WithWorkspaces(s.config.Workspaces)
+	return discovery.Apply(tables, lists)
 }
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -83,6 +83,8 @@
 	Workspace string `json:"tenant,omitempty"`
 	// WorkspaceHeader names a request header whose value overrides Workspace.
 	WorkspaceHeader string `json:"tenant_header,omitempty"`
+	// Public admits requests without an API key where there are workspaces.
+	Public bool `json:"public,omitempty"`
 	// Class is the priority class. Default normal.
 	Class Class `json:"class,omitempty"`
 	// Idempotency determines whether requests may run more than once. Default by-method.
@@ -186,8 +188,11 @@
 	Routes map[string]Route `json:"routes"`
 	// Pools holds the pools by name.
 	Pools map[string]Pool `json:"pools"`
+	// Workspaces holds the workspaces by name. While there are any, requests need an API key; see WithWorkspaces.
+	Workspaces map[string]Workspace `json:"workspaces,omitempty"`
 
-	sortedRoutes []Route
+	sortedRoutes    []Route
+	workspacesByKey map[KeyHash]*Workspace
 }
 
 // NewTables returns tables with defaults set and routes sorted for matching.
