workspace, platform, follow: decode workspaces and look up keys

A malformed row, a name given twice or a key of two workspaces leaves the last valid configuration in force.

Nothing uses the workspaces of the tables yet.

--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -10,6 +10,7 @@
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/store"
 	"github.com/turmericsail/turmericsail/pkg/table"
+	"github.com/turmericsail/turmericsail/pkg/workspace"
 )
 
 // Config is a version of the operator's configuration.
@@ -155,7 +156,7 @@
 }
 
 // put stores an entry. One that cannot be decoded names no upstream; a configuration that cannot be
-// decoded, or whose routes refer to missing pools, leaves the last valid one in force.
+// decoded, whose routes refer to missing pools or whose workspaces are ambiguous leaves the last valid one in force.
 func (s *followedState) put(e store.Entry) error {
 	var decoded DecodedEntry
 	var err error
@@ -169,7 +170,8 @@
 		decoded, err = s.codec.Decode(e)
 	}
 	if err == nil && decoded.Config != nil {
-		err = table.NewTables(decoded.Config.Version, decoded.Config.Routes, decoded.Config.Pools).CheckReferences().Err()
+		problems := table.NewTables(decoded.Config.Version, decoded.Config.Routes, decoded.Config.Pools).CheckReferences()
+		err = append(problems, workspace.Validate("$.workspaces", decoded.Config.Workspaces)...).Err()
 	}
 	if err != nil {
 		decoded = DecodedEntry{}
