entry: admit requests by API key and name their workspace to upstreams

Where the tables have workspaces, a request needs a key unless its route is public. The key is checked once the route is known and before anything else uses the workspace, and once more before each attempt is sent, since a request may wait for an upstream longer than a removed key may be used. The key is removed from every request to an upstream or another entry; the header of the workspace replaces what the caller sent, also as a trailer. The exchange's copy of the route gets the class of the workspace and the common home regions.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -107,6 +107,10 @@
 		a.stop(failPlacement, errors.New("the upstream is outside the home regions"))
 		return a
 	}
+	if x.keyRevoked() {
+		a.stop(failPlacement, errKeyRevoked)
+		return a
+	}
 	x.mu.Lock()
 	if x.tried == nil {
 		x.tried = x.triedBuf[:0]
@@ -224,6 +228,9 @@
 	}
 	if x.body != nil {
 		req.Trailer = trailerNames(x.r.Trailer)
+		if x.keyed {
+			delete(req.Trailer, x.e.proto.Workspace)
+		}
 		var err error
 		if a.body, err = x.body.open(req.Trailer, a.conn.counted.lost); err != nil {
 			return nil, err
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -42,7 +42,9 @@
 	route             table.Route
 	pool              table.Pool
 	workspace         string           // names the workspace in metrics, queues and fingerprints
+	keyed             bool             // the tables have workspaces, so requests need an API key
 	keyWorkspace      *table.Workspace // the workspace of the key; nil if there is no key
+	keyHash           table.KeyHash    // zero if another entry has checked the key
 	id                string
 	start             time.Time
 	deadline          time.Time     // for the start of the response
@@ -166,7 +168,7 @@
 	return x.sendResponse(a, nil)
 }
 
-// match finds the route and the pool of the request.
+// match finds the route, the workspace and the pool of the request.
 func (x *exchange) match() *Refusal {
 	tables := x.e.snapshots.Snapshot().Tables
 	if tables == nil {
@@ -188,14 +190,20 @@
 	if x.route.IdentityHeader != "" && !x.route.IsIdempotent(x.r.Method) {
 		x.identity = x.r.Header.Get(x.route.IdentityHeader)
 	}
-	if !x.e.ports.Direct && !x.route.Permits(x.e.cfg.Region) {
-		x.needsRelay = true
+	x.needsRelay = x.outsideHome() // first, since a refusal outside the home regions is not logged either
+	if refusal := x.authenticate(tables); refusal != nil {
+		return refusal
+	}
+	if x.needsRelay = x.outsideHome(); x.needsRelay {
 		return nil
 	}
 	x.route.Pool = x.route.PickPool(rand.Float64())
 	if x.pool, ok = tables.Pools[x.route.Pool]; !ok {
 		return refuseNoPool()
 	}
+	if x.keyed {
+		return nil
+	}
 	x.workspace = x.route.Workspace
 	if name := x.route.WorkspaceHeader; name != "" {
 		if v := x.r.Header.Get(name); v != "" {
@@ -205,6 +213,11 @@
 	return nil
 }
 
+// outsideHome reports whether the request must be relayed into its home regions.
+func (x *exchange) outsideHome() bool {
+	return !x.e.ports.Direct && !x.route.Permits(x.e.cfg.Region)
+}
+
 // admit checks the deadline and the declared body length, reads the call depth, opens the body and
 // starts the watchdog timer.
 func (x *exchange) admit() *Refusal {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -51,6 +51,8 @@
 	client *http.Client
 	pool   table.Pool
 	routes []table.Route
+	// workspaces is empty in most tests.
+	workspaces []table.Workspace
 }
 
 type option func(*settings.Settings, *Ports, *Entry)
@@ -120,7 +122,7 @@
 }
 
 func (h *harness) apply() {
-	h.tables.set(table.NewTables(1, h.routes, []table.Pool{h.pool}))
+	h.tables.set(table.NewTables(1, h.routes, []table.Pool{h.pool}).WithWorkspaces(h.workspaces))
 }
 
 func listen(t testing.TB) net.Listener {
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -24,6 +24,11 @@
 	HeaderDeadline = "Turmericsail-Deadline"
 	// HeaderRetryBudget is the number of retries that the caller of a nested call allows.
 	HeaderRetryBudget = retry.BudgetHeader
+	// HeaderWorkspace tells upstreams the workspace of a request.
+	HeaderWorkspace = "Turmericsail-Workspace"
+	// HeaderRelayedWorkspace names the workspace of a relayed request, whose key is not passed on. It is empty for a
+	// request without a key. Only entries send it.
+	HeaderRelayedWorkspace = "Turmericsail-Relayed-Workspace"
 	// HeaderRequestID identifies a request in logs.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -83,6 +88,7 @@
 	for _, name := range []string{x.e.proto.Outcome, x.e.proto.Load, x.e.proto.Deadline, HeaderDepth, HeaderRetryBudget, "Content-Length"} {
 		delete(h, name)
 	}
+	x.setWorkspace(h)
 	h[x.e.proto.RequestID] = x.headerValue(x.id)
 	if acceptsTrailers(r.Header) {
 		h["Te"] = []string{"trailers"}
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -28,6 +28,8 @@
 	// EchoesRequestID is set if upstreams repeat the request ID in each response. One without it, or with another one,
 	// is then not taken for the response to a request.
 	EchoesRequestID bool
+	// Workspace tells upstreams the workspace of a request. It replaces what the caller sent where requests need an API key.
+	Workspace string
 	// NotRun reports whether a response states that the upstream did not run the request.
 	NotRun func(*http.Response) bool
 	// Intake returns what a response states about the requests that its upstream takes; nil if nothing is stated.
@@ -62,7 +64,7 @@
 // DefaultProtocol returns turmericsail's own protocol.
 func DefaultProtocol() Protocol {
 	return Protocol{
-		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Outcome: HeaderOutcome, Load: HeaderLoad,
+		RequestID: HeaderRequestID, Deadline: HeaderDeadline, Outcome: HeaderOutcome, Load: HeaderLoad, Workspace: HeaderWorkspace,
 		NotRun: func(resp *http.Response) bool {
 			return resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderOutcome) == string(NotRun)
 		},
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -28,6 +28,8 @@
 	Message    string        `json:"message"`
 	Remedy     string        `json:"remedy"`
 	RetryAfter time.Duration `json:"-"`
+	// Challenge is the value of WWW-Authenticate, which a refusal with status 401 needs.
+	Challenge string `json:"-"`
 	// Close closes the caller's connection after the response.
 	Close bool `json:"-"`
 	// Cause is logged but not sent to the caller, because it may name upstreams.
@@ -44,6 +46,9 @@
 	if f.RetryAfter > 0 {
 		h.Set("Retry-After", p.retryAfter(f.RetryAfter))
 	}
+	if f.Challenge != "" {
+		h.Set("WWW-Authenticate", f.Challenge)
+	}
 	if f.Close {
 		h.Set("Connection", "close")
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -56,6 +56,10 @@
 			h[name] = v
 		}
 	}
+	delete(h, HeaderRelayedWorkspace)
+	if x.keyed {
+		h[HeaderRelayedWorkspace] = x.headerValue(x.workspace)
+	}
 	return h
 }
 
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/http"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/retry"
+	"github.com/turmericsail/turmericsail/pkg/workspace"
 )
 
 // firstResponse makes attempts until an upstream responds or no further attempt is allowed.
@@ -110,6 +112,9 @@
 func (x *exchange) resolveFailure(a *attempt) (*attempt, *Refusal) {
 	switch a.fail {
 	case failPlacement:
+		if errors.Is(a.err, errKeyRevoked) {
+			return nil, x.refuseKey(workspace.Revoked)
+		}
 		return nil, refusePlacement(x.pastDeadline(), a.err)
 	case failUnreached:
 		if x.ticketExpired() {
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -90,6 +90,11 @@
 	return t.counter("turmericsail_refusals_total{kind=%q}", kind)
 }
 
+// keyRefusals counts requests that were refused for their API key.
+func (t *telemetry) keyRefusals(reason string) *metrics.Counter {
+	return t.counter("turmericsail_key_refusals_total{reason=%q}", reason)
+}
+
 func (t *telemetry) retries(pool string) *metrics.Counter {
 	return t.counter("turmericsail_retries_total{pool=%q}", pool)
 }
--- a/pkg/workspace/workspace.go
+++ b/pkg/workspace/workspace.go
@@ -93,43 +93,37 @@
 	return key != ""
 }
 
-// Identity is what is known about the caller of a request.
-type Identity struct {
-	// Workspace is nil for a request without a key, which only public routes admit.
-	Workspace *table.Workspace
-	key       table.KeyHash
-}
-
-// Authenticate returns the identity of a request for the route. A wrong key is refused on a public route, too, since
-// a request with a key that was never valid must not run.
-func Authenticate(t *table.Tables, public bool, authorization []string) (Identity, Reason) {
+// Authenticate returns the workspace of a request and the hash of its key. The workspace is nil if the request has no
+// key, which only public routes admit. A wrong key is refused on a public route, too, since a request with a key that
+// was never valid must not run.
+func Authenticate(t *table.Tables, public bool, authorization []string) (*table.Workspace, table.KeyHash, Reason) {
 	key, reason := ParseAuthorization(authorization)
 	switch {
 	case reason == Missing && public:
-		return Identity{}, None
+		return nil, table.KeyHash{}, None
 	case reason != None:
-		return Identity{}, reason
+		return nil, table.KeyHash{}, reason
 	}
 	hashed := Hash(key)
 	w, ok := t.WorkspaceOf(hashed)
 	if !ok {
-		return Identity{}, Unknown
+		return nil, table.KeyHash{}, Unknown
 	}
-	return Identity{Workspace: w, key: hashed}, None
+	return w, hashed, None
 }
 
-// Valid reports whether the tables still admit the identity. A request that waited, or that is sent once more, may
-// have been admitted under older tables.
-func (i *Identity) Valid(t *table.Tables) bool {
-	if i.Workspace == nil || !t.HasWorkspaces() {
+// Admits reports whether the tables still give the key to the workspace. A request that waited, or that is sent once
+// more, may have been admitted under older tables. The hash is zero if another instance has authenticated the request.
+func Admits(t *table.Tables, w *table.Workspace, key table.KeyHash) bool {
+	if w == nil || !t.HasWorkspaces() {
 		return true
 	}
-	if i.key == (table.KeyHash{}) { // another instance has authenticated the request
-		_, ok := t.Workspaces[i.Workspace.Name]
+	if key == (table.KeyHash{}) {
+		_, ok := t.Workspaces[w.Name]
 		return ok
 	}
-	w, ok := t.WorkspaceOf(i.key)
-	return ok && w.Name == i.Workspace.Name
+	now, ok := t.WorkspaceOf(key)
+	return ok && now.Name == w.Name
 }
 
 // Apply sets what the workspace determines in a route for one request: the class and the home regions. It returns
--- a/pkg/workspace/workspace_test.go
+++ b/pkg/workspace/workspace_test.go
@@ -64,36 +64,38 @@
 	} {
 		t.Run(test.form, func(t *testing.T) {
 			is := is.New(t)
-			identity, reason := Authenticate(known, false, test.values)
+			w, _, reason := Authenticate(known, false, test.values)
 			is.Equal(reason, test.reason)
-			is.Equal(identity.Workspace != nil, test.workspace != "")
-			if identity.Workspace != nil {
-				is.Equal(identity.Workspace.Name, test.workspace)
+			is.Equal(w != nil, test.workspace != "")
+			if w != nil {
+				is.Equal(w.Name, test.workspace)
 			}
-			public, reason := Authenticate(known, true, test.values)
+			public, _, reason := Authenticate(known, true, test.values)
 			if test.reason == Missing {
 				is.Equal(reason, None) // a public route needs no key
 			} else {
 				is.Equal(reason, test.reason) // but a wrong one is refused
 			}
-			is.Equal(public.Workspace, identity.Workspace)
+			is.Equal(public, w)
 		})
 	}
 }
 
 // Guards against a key that stays valid for a waiting request after its removal, or that moves to another workspace.
-func TestIdentityEndsWithItsKey(t *testing.T) {
+func TestAdmissionEndsWithTheKey(t *testing.T) {
 	is := is.New(t)
 	old := tables(t, map[string][]string{"acme": {"k1", "k2"}})
-	identity, reason := Authenticate(old, false, []string{"Bearer k1"})
+	w, key, reason := Authenticate(old, false, []string{"Bearer k1"})
 	is.Equal(reason, None)
-	is.True(identity.Valid(old))
-	is.True(identity.Valid(tables(t, map[string][]string{"acme": {"k1"}})))
-	is.True(!identity.Valid(tables(t, map[string][]string{"acme": {"k2"}})))
-	is.True(!identity.Valid(tables(t, map[string][]string{"acme": {"k2"}, "next": {"k1"}})))
-	is.True(identity.Valid(table.NewTables(2, nil, nil))) // no workspaces: no keys are needed
-	anonymous, _ := Authenticate(old, true, nil)
-	is.True(anonymous.Valid(old))
+	is.True(Admits(old, w, key))
+	is.True(Admits(tables(t, map[string][]string{"acme": {"k1"}}), w, key))
+	is.True(!Admits(tables(t, map[string][]string{"acme": {"k2"}}), w, key))
+	is.True(!Admits(tables(t, map[string][]string{"acme": {"k2"}, "next": {"k1"}}), w, key))
+	is.True(Admits(table.NewTables(2, nil, nil), w, key)) // no workspaces: no keys are needed
+	nobody, none, _ := Authenticate(old, true, nil)
+	is.True(Admits(old, nobody, none))
+	is.True(Admits(old, w, table.KeyHash{})) // authenticated by another instance
+	is.True(!Admits(tables(t, map[string][]string{"next": {"k1"}}), w, table.KeyHash{}))
 }
 
 // Guards against an empty intersection that permits every region, and against records outside of the intersection.
