--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -26,6 +26,8 @@
 	Limits settings.Limits
 	// Refused lists the rows that are not in force because of their errors.
 	Refused table.Problems
+	// HomeConflicts lists the pairs of route and workspace without a common home region, whose requests are refused.
+	HomeConflicts table.Problems `json:",omitempty"`
 }
 
 // Source provides the tables in force; *configsync.Syncer implements it.
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -146,6 +146,19 @@
 	is.Equal(up.seen()[0].Header.Get(HeaderWorkspace), "own")
 }
 
+// Guards against an instance that refuses a valid key because it does not know the configuration yet.
+func TestNoConfigurationIsNoUnknownKey(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), nil)
+	h.tables.set(nil)
+	for _, header := range [][]string{nil, bearer("good")} {
+		r := h.do("GET", "/", nil, header...)
+		is.NoErr(r.err)
+		is.Equal(r.status, 503)
+		is.True(strings.Contains(r.body, "no-configuration"))
+	}
+}
+
 // Guards against a body that is read, or whose end is awaited, before the key is checked.
 func TestRefusedKeyDoesNotWaitForTheBody(t *testing.T) {
 	is := is.New(t)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,6 +24,7 @@
 	"github.com/turmericsail/turmericsail/pkg/pause"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/store"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 const (
@@ -507,10 +508,26 @@
 	if tables == nil {
 		return
 	}
+	conflicts := f.Snapshot().HomeConflicts
 	if old := f.Snapshot().Tables; old == nil || old.Revision != tables.Revision {
-		f.log.Info("configuration in force", "version", tables.Revision, "routes", len(tables.Routes), "pools", len(tables.Pools))
+		f.log.Info("configuration in force", "version", tables.Revision, "routes", len(tables.Routes), "pools", len(tables.Pools), "workspaces", len(tables.Workspaces))
+		conflicts = tables.CheckHomes()
+		f.logConflicts(conflicts)
+	}
+	f.current.Store(&control.Snapshot{Tables: tables, Limits: state.config.Limits, Refused: problems, HomeConflicts: conflicts})
+}
+
+// maxConflictLines bounds the log lines about one configuration, which may have a conflict for each pair of route and
+// workspace.
+const maxConflictLines = 20
+
+func (f *Follower) logConflicts(conflicts table.Problems) {
+	for _, p := range conflicts[:min(len(conflicts), maxConflictLines)] {
+		f.log.Info("home regions without a common one", "path", p.Path, "problem", p.Message, "remedy", p.Remedy)
+	}
+	if more := len(conflicts) - maxConflictLines; more > 0 {
+		f.log.Info("further home regions without a common one", "pairs", more)
 	}
-	f.current.Store(&control.Snapshot{Tables: tables, Limits: state.config.Limits, Refused: problems})
 }
 
 // rendezvousWeight orders the readers of a region for this instance (rendezvous hashing).
