check: report the faults of a configuration of the platform

Instances stop at the first fault, and their log names only that one. The faults for which a configuration is ignored are the same code in both (follow.Config.Validate). Tests of platform, internal/follow and internal/cli that concern it pass.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -11,6 +11,7 @@
 	"github.com/turmericsail/turmericsail/pkg/configsync"
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/table"
+	"github.com/turmericsail/turmericsail/platform"
 )
 
 // finding is a problem and the document in which it was found.
@@ -32,6 +33,7 @@
 	output   outputFlag
 	settings []string
 	tables   []string
+	configs  []string
 	findings []finding
 	routes   []table.Route
 	pools    []table.Pool
@@ -44,7 +46,8 @@
 		Long: `Check settings files, files with tables, and the tables in the store. Every fault is printed
 with its JSON path and the remedy; routes whose pool does not exist are faults. Exit code 2
 means that there are faults. A file with tables has the form {"routes": [...], "pools": [...]}.
-All tables given together are checked as one set.`,
+All tables given together are checked as one set. A configuration of the users' platform is
+checked by itself, with its workspaces; API keys are not printed.`,
 		Example: "  turmericsail check --settings instance.json\n  turmericsail check --tables tables.json -o json\n  turmericsail check --store http://127.0.0.1:8500",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if err := c.output.check(); err != nil {
@@ -55,6 +58,7 @@
 	}
 	cmd.Flags().StringArrayVar(&c.settings, "settings", nil, "settings file; repeatable")
 	cmd.Flags().StringArrayVar(&c.tables, "tables", nil, "file with tables; repeatable")
+	cmd.Flags().StringArrayVar(&c.configs, "configuration", nil, "file with a configuration of the users' platform; repeatable")
 	c.store.add(cmd)
 	c.output.add(cmd)
 	return cmd
@@ -62,8 +66,8 @@
 
 func (c *checker) run(cmd *cobra.Command) error {
 	fromStore := cmd.Flags().Changed("store")
-	if len(c.settings)+len(c.tables) == 0 && !fromStore {
-		return fault.New(fault.Invalid, "there is nothing to check", "give --settings, --tables or --store")
+	if len(c.settings)+len(c.tables)+len(c.configs) == 0 && !fromStore {
+		return fault.New(fault.Invalid, "there is nothing to check", "give --settings, --tables, --configuration or --store")
 	}
 	if err := c.checkFiles(cmd.InOrStdin()); err != nil {
 		return err
@@ -94,6 +98,13 @@
 		_, err = settings.Parse(data)
 		c.add(path, table.ProblemsOf(err))
 	}
+	for _, path := range c.configs {
+		data, err := readInput(path, stdin)
+		if err != nil {
+			return err
+		}
+		c.add(path, platform.CheckConfig(data))
+	}
 	for _, path := range c.tables {
 		data, err := readInput(path, stdin)
 		if err != nil {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -208,6 +208,18 @@
 	is.True(strings.Contains(runCLI(t, "status", "--store", url).out, "unreachable"))
 }
 
+// Guards against faults of workspaces that the check command misses, and against a key in its output.
+func TestCheckConfiguration(t *testing.T) {
+	is := is.New(t)
+	path := writeTestFile(t, `{"version":3,"resources":[
+{"type":"tenants","metadata":{"name":"acme"},"spec":{"api_keys":["key-4711"]}},
+{"type":"tenants","metadata":{"name":"next"},"spec":{"api_keys":["key-4711"]}}]}`)
+	got := runCLI(t, "check", "--configuration", path)
+	is.Equal(got.code, ExitInvalid)
+	is.True(strings.Contains(got.out, `$.workspaces["next"].keys: has a key of workspace "acme"`))
+	is.True(!strings.Contains(got.out+got.errors, "4711"))
+}
+
 // Guards against faults in tables that the check command misses or reports without their JSON path.
 func TestCheckTables(t *testing.T) {
 	is := is.New(t)
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -25,6 +25,12 @@
 	Limits settings.Limits
 }
 
+// Validate returns the faults for which a configuration does not come into force.
+func (c *Config) Validate() table.Problems {
+	p := table.NewTables(c.Version, c.Routes, c.Pools).CheckReferences()
+	return append(p, workspace.Validate("$.workspaces", c.Workspaces)...)
+}
+
 // DecodedEntry is the decoded value of one key of the store. One field is set, or none for a key
 // that is not used here.
 type DecodedEntry struct {
@@ -170,8 +176,7 @@
 		decoded, err = s.codec.Decode(e)
 	}
 	if err == nil && decoded.Config != nil {
-		problems := table.NewTables(decoded.Config.Version, decoded.Config.Routes, decoded.Config.Pools).CheckReferences()
-		err = append(problems, workspace.Validate("$.workspaces", decoded.Config.Workspaces)...).Err()
+		err = decoded.Config.Validate().Err()
 	}
 	if err != nil {
 		decoded = DecodedEntry{}
