--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"sort"
@@ -45,7 +46,8 @@
 		Use:   "explain REQUEST-ID LOG...",
 		Short: "Show the timeline of a request from the logs of one or many instances",
 		Long: `Show the timeline of a request from the logs of one or many instances, in the order of time: every
-line about the request, and state changes of the instances that handled it, from 10 s before its first line.
+line about the request, and state changes of the instances that handled it, from 10 s before its first line. For a
+request that was refused for its API key, also the configuration that was in force.
 A LOG is a file of JSON lines, or - for standard input; text before the first brace of a line is ignored.`,
 		Example: "  turmericsail explain 9c41d07be2a35f68 e1.log e2.log\n  turmericsail explain -o json 9c41d07be2a35f68 - < all.log",
 		Args:    cobra.MinimumNArgs(2),
@@ -155,15 +157,39 @@
 			upstreams[u] = true
 		}
 	}
+	configured := s.lastConfigurations(first)
 	for _, l := range s.stateLines {
 		if sources[l.Source] && l.Time.After(first.Add(-stateWindow)) && l.Time.Before(last) && concernsRequest(l, upstreams) {
 			all = append(all, l)
 		}
 	}
+	for _, l := range s.requestLines {
+		refusal, _ := l.Fields["refusal"].(string)
+		if before, known := configured[l.Source]; known && refusal == unknownKey {
+			all = append(all, before)
+			delete(configured, l.Source)
+		}
+	}
 	sort.SliceStable(all, byTime)
 	return all
 }
 
+// unknownKey is the refusal that depends on the configuration in force, however long it has been.
+const unknownKey = "unknown-key"
+
+// lastConfigurations returns by source the line about the configuration that came into force last, if that was
+// earlier than stateWindow before the first line of the request.
+func (s *requestTrace) lastConfigurations(first time.Time) map[string]logLine {
+	last := map[string]logLine{}
+	for _, l := range s.stateLines {
+		if l.Event == "configuration in force" && !l.Time.After(first) && !l.Time.Before(last[l.Source].Time) {
+			last[l.Source] = l
+		}
+	}
+	maps.DeleteFunc(last, func(_ string, l logLine) bool { return l.Time.After(first.Add(-stateWindow)) })
+	return last
+}
+
 // concernsRequest excludes changes of upstreams to which the request was not sent.
 func concernsRequest(l logLine, upstreams map[string]bool) bool {
 	key, _ := l.Fields["key"].(string)
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -92,7 +92,7 @@
 	if t := x.e.snapshots.Snapshot().Tables; t != nil {
 		revision = t.Revision
 	}
-	f.Cause = fmt.Errorf("API key %s; tables of revision %d", reason, revision)
+	f.Cause = fmt.Errorf("%s (configuration %d)", reason, revision)
 	return f
 }
 
--- a/pkg/workspace/workspace.go
+++ b/pkg/workspace/workspace.go
@@ -65,6 +65,23 @@
 	Revoked Reason = "revoked"
 )
 
+// String returns the reason as a clause for operators, who see it in the log line of the request and in explain.
+func (r Reason) String() string {
+	switch r {
+	case None:
+		return "the request is admitted"
+	case Missing:
+		return "the request has no Authorization header and the route is not public"
+	case Malformed:
+		return "the Authorization of the request is not exactly one bearer key"
+	case Unknown:
+		return "no workspace has the key of the request"
+	case Revoked:
+		return "the key was removed while the request waited to be sent"
+	}
+	return string(r)
+}
+
 // ParseAuthorization returns the key in the values of a request's Authorization header (RFC 6750, section 2.1). More
 // than one value is malformed: the next hop could read another one than this.
 func ParseAuthorization(values []string) (key string, reason Reason) {
