--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -10,6 +10,7 @@
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/store"
 	"github.com/turmericsail/turmericsail/pkg/table"
+	"github.com/turmericsail/turmericsail/pkg/workspace"
 )
 
 // Config is a version of the operator's configuration.
@@ -18,10 +19,18 @@
 	Version uint64
 	Routes  []table.Route
 	Pools   []table.Pool
+	// Workspaces is empty in deployments without API keys.
+	Workspaces []table.Workspace
 	// Limits bounds what callers may send; zero fields are not limited by the operator.
 	Limits settings.Limits
 }
 
+// Validate returns the faults for which a configuration does not come into force.
+func (c *Config) Validate() table.Problems {
+	p := table.NewTables(c.Version, c.Routes, c.Pools).CheckReferences()
+	return append(p, workspace.Validate("$.workspaces", c.Workspaces)...)
+}
+
 // DecodedEntry is the decoded value of one key of the store. One field is set, or none for a key
 // that is not used here.
 type DecodedEntry struct {
@@ -153,7 +162,7 @@
 }
 
 // put stores an entry. One that cannot be decoded names no upstream; a configuration that cannot be
-// decoded, or whose routes refer to missing pools, leaves the last valid one in force.
+// decoded, whose routes refer to missing pools or whose workspaces are ambiguous leaves the last valid one in force.
 func (s *followedState) put(e store.Entry) error {
 	var decoded DecodedEntry
 	var err error
@@ -167,7 +176,7 @@
 		decoded, err = s.codec.Decode(e)
 	}
 	if err == nil && decoded.Config != nil {
-		err = table.NewTables(decoded.Config.Version, decoded.Config.Routes, decoded.Config.Pools).CheckReferences().Err()
+		err = decoded.Config.Validate().Err()
 	}
 	if err != nil {
 		decoded = DecodedEntry{}
@@ -280,5 +289,6 @@
 		pools[i].FailureDomainsOut = evacuated
 		pools[i].Slots = max(slots[pools[i].Discover], 1)
 	}
-	return discovery.Apply(table.NewTables(s.config.Version, s.config.Routes, pools), lists)
+	tables := table.NewTables(s.config.Version, s.config.Routes, pools).WithWorkspaces(s.config.Workspaces)
+	return discovery.Apply(tables, lists)
 }
