quarantine: count report items, log a run of failed calls once

Items and bytes are now counted by kind and by whether the receiver knew them, calls by outcome, and a run of failed calls costs one line with the number of calls and instances.

--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -80,6 +80,7 @@
 	events      chan event
 	changed     chan struct{}
 	calls       sync.WaitGroup
+	failures    failureRun
 
 	mu       sync.RWMutex
 	table    *Table
@@ -333,16 +334,17 @@
 		f := Fingerprint(item.GetFingerprint())
 		at := now.Add(-time.Duration(item.GetAgeMillis()) * time.Millisecond)
 		e := event{f: f, homeRegions: item.GetHomeRegions(), from: from}
+		news := false
 		switch {
 		case item.GetCleared():
 			e.cleared, e.loss.At = true, at
-			if s.table.RecordSuccess(now, f, at, item.GetHomeRegions()) {
+			if news = s.table.RecordSuccess(now, f, at, item.GetHomeRegions()); news {
 				s.forward(e)
 			}
 		case item.GetRefusedMillis() > 0:
 			rest := time.Duration(item.GetRefusedMillis()) * time.Millisecond
 			e.refusedUntil = now.Add(rest)
-			if s.table.RecordRefusal(now, f, rest, item.GetHomeRegions()) {
+			if news = s.table.RecordRefusal(now, f, rest, item.GetHomeRegions()); news {
 				s.Log.Info("request refused, as another instance reported", "fingerprint", f.Short(), "instance", from)
 				s.forward(e)
 			}
@@ -354,11 +356,12 @@
 			if now.Sub(at) < lostTime {
 				s.lost[e.loss.Upstream] = at
 			}
-			if s.countLoss(now, f, e.loss, item.GetHomeRegions()) {
+			if news = s.countLoss(now, f, e.loss, item.GetHomeRegions()); news {
 				s.forward(e)
 			}
 			s.confirmRemoteLoss(now, e.loss)
 		}
+		countReceived(item, news)
 	}
 	s.update()
 	return &peerpb.LimitsAck{}, nil
@@ -377,6 +380,7 @@
 			s.sendAll(ctx, s.drain(e))
 		case now := <-ticker.C:
 			s.expire(now)
+			s.failures.log(now, s.Log)
 			s.informContacts(ctx)
 		case <-s.Appeared:
 			s.informContacts(ctx)
@@ -447,9 +451,12 @@
 			callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
 			err = s.Transport.Call(callCtx, to, ServiceReport, &peerpb.QuarantineReport{Items: chunk}, &peerpb.LimitsAck{})
 			cancel()
+			countSent(chunk)
 			if err != nil {
+				callsFailed.Inc()
 				break
 			}
+			callsAnswered.Inc()
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -463,7 +470,7 @@
 		}
 		if err != nil {
 			c.informed = false
-			s.Log.V(1).Info("failed to send a quarantine report", "instance", to, "error", err.Error())
+			s.failures.add(time.Now(), to, err)
 		}
 	})
 }
