quarantine: send each event to each instance once, within a budget

Cause: the age in a report is that of the moment it was encoded. A report that waits, as while its receiver is frozen, makes a loss look later than it was. From one second on, RestartTime, the table counts it as a further loss of that upstream, which is news and is forwarded to everyone, also to other frozen instances. Failed calls add to it: after one, everything that is known is sent again each second. Freezing instances without restarts gives the storm, restarts alone do not.

Change: events have an ID that stays the same on every hop; a known ID is ignored. An outbox keeps a log of events and a position for each contact, so that an event goes to each contact until one call with it is answered, never back to one that reported it. Reports whose caller has given up are not applied. Ages count the time for which the monotonic clock stood still.

--- a/pkg/peer/link.go
+++ b/pkg/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -111,7 +112,8 @@
 	}
 	if s.peer != to {
 		t.registerSession(s)
-		return nil, fault.Newf(fault.Unavailable, "use the new incarnation", "instance %s answers at the address of %s", s.peer, to)
+		message := fmt.Sprintf("instance %s answers at the address of %s", s.peer, to)
+		return nil, fault.Wrap(fault.Unavailable, ErrOtherIncarnation, message, "use the new incarnation")
 	}
 	return s, nil
 }
--- a/pkg/peer/peertest/deliver.go
+++ b/pkg/peer/peertest/deliver.go
@@ -24,7 +24,7 @@
 	target := s.net.node(to)
 	if target == nil {
 		s.sleep(ctx, delay)
-		answers <- answer{err: unavailable(nil)}
+		answers <- answer{err: s.net.absent(to)}
 		return
 	}
 	select {
--- a/pkg/peer/peertest/network.go
+++ b/pkg/peer/peertest/network.go
@@ -35,6 +35,7 @@
 	mu          sync.Mutex
 	random      *rand.Rand
 	nodes       map[peer.InstanceID]*Node
+	addresses   map[peer.InstanceID]string // also of nodes that were removed
 	latency     func(from, to peer.InstanceID) time.Duration
 	partitioned func(from, to peer.InstanceID) bool
 	faults      Faults
@@ -45,6 +46,7 @@
 	return &Network{
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		nodes:       map[peer.InstanceID]*Node{},
+		addresses:   map[peer.InstanceID]string{},
 		latency:     func(_, _ peer.InstanceID) time.Duration { return time.Millisecond },
 		partitioned: func(_, _ peer.InstanceID) bool { return false },
 	}
@@ -95,6 +97,7 @@
 	}
 	node := newNode(n, id, address)
 	n.nodes[id] = node
+	n.addresses[id] = address
 	return node
 }
 
@@ -140,6 +143,17 @@
 	return nil
 }
 
+// absent returns why an instance cannot be called: it is not there, or another incarnation has its address.
+func (n *Network) absent(id peer.InstanceID) error {
+	n.mu.Lock()
+	address, known := n.addresses[id]
+	n.mu.Unlock()
+	if known && n.nodeAt(address) != nil {
+		return unavailable(peer.ErrOtherIncarnation)
+	}
+	return unavailable(nil)
+}
+
 // delivery is the delay and the faults chosen for one message.
 type delivery struct {
 	delay      time.Duration
--- a/pkg/peer/traffic.go
+++ b/pkg/peer/traffic.go
@@ -44,3 +44,7 @@
 // service that the other instance does not have, for example because it runs an
 // older release.
 var ErrUnknownService = errors.New("unknown service")
+
+// ErrOtherIncarnation is in the chain of the Unavailable fault for a call to an instance at whose address another
+// one answers. The called instance has ended: an incarnation keeps its address for as long as it runs.
+var ErrOtherIncarnation = errors.New("another instance answers at the address")
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -90,6 +90,7 @@
 	addresses["b/2"] = addresses["b/1"]
 	_, err := echo(a, "b/2", "echo")
 	is.Equal(fault.KindOf(err), fault.Unavailable) // another incarnation must not get the call
+	is.True(errors.Is(err, ErrOtherIncarnation))
 }
 
 // Guards against a call that fails with Unavailable although its handler ran.
--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -49,6 +49,7 @@
 	stored    map[Fingerprint]time.Time
 	storeAway bool
 	started   int
+	transport func(*peertest.Node) peer.Transport // wraps the transport of an instance, if set
 
 	crashes  map[string][]time.Time
 	late     map[string]int
@@ -95,8 +96,13 @@
 		id: peer.InstanceID(fmt.Sprintf("e%d/%d", index, d.started)), region: regions[index%len(regions)], index: index,
 		callers: map[peer.InstanceID]time.Time{}, appeared: make(chan struct{}, 1), stop: make(chan struct{}), calmSince: time.Now(),
 	}
+	node := d.net.Join(n.id, fmt.Sprintf("10.0.0.%d:1", index))
+	var transport peer.Transport = node
+	if d.transport != nil {
+		transport = d.transport(node)
+	}
 	s, err := NewService(Config{
-		Transport: d.net.Join(n.id, fmt.Sprintf("10.0.0.%d:1", d.started)), InstancesIn: func([]string) []peer.InstanceID { return d.contacts(n) },
+		Transport: transport, InstancesIn: func([]string) []peer.InstanceID { return d.contacts(n) },
 		Forward: true, Appeared: n.appeared, Settings: fleetSettings(), Log: logr.Discard(),
 	})
 	if err != nil {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -21,9 +21,9 @@
 // loss refuses it again, for twice as long.
 //
 // Instances exchange losses and successful responses in small reports, which are
-// sent only to instances in the home regions of the request. A report that could not be
-// delivered is followed by all that the sender knows, once the receiver answers. Where not
-// every instance knows all others, those in the middle forward what is new to them. The
+// sent only to instances in the home regions of the request. Each event has an ID and is sent to
+// each instance until it has answered once; failed calls are repeated at growing intervals, within a
+// budget. Where not every instance knows all others, those in the middle forward what is new to them. The
 // refusals in force can be kept in a store, for instances that restart; see Service.Refusals.
 package quarantine
 
--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -3,9 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,7 +32,7 @@
 	sendTimeout = time.Second
 	// lostTime is how long a lost upstream is not among those that a suspect is confined to.
 	lostTime = 5 * time.Second
-	// maxItems bounds the items of a report and the queue of unsent events.
+	// maxItems bounds the items of a report.
 	maxItems = 1024
 	// syncSenders is the number of instances that send the current losses and refusals to a new instance.
 	syncSenders = 2
@@ -58,18 +62,14 @@
 
 // event is a loss, a successful response or a refusal to be sent to the instances in the home regions.
 type event struct {
+	id           uint64 // the same at all instances
 	f            Fingerprint
 	loss         Loss
 	cleared      bool
 	refusedUntil time.Time
 	homeRegions  []string
 	from         peer.InstanceID // the instance that reported it, if another one did
-}
-
-// contact is what this instance has told another one.
-type contact struct {
-	informed bool // of all that this instance knew
-	calling  bool
+	learned      time.Time
 }
 
 // Service holds the table of this instance and exchanges events with other instances.
@@ -77,7 +77,7 @@
 	Config
 	hasher      *Hasher
 	recordCount atomic.Int64
-	events      chan event
+	wake        chan struct{} // receives a value when there may be something to send
 	changed     chan struct{}
 	calls       sync.WaitGroup
 	failures    failureRun
@@ -86,7 +86,8 @@
 	table    *Table
 	watchers map[Upstream]*Watcher
 	lost     map[uint64]time.Time // lost upstreams, by hash
-	contacts map[peer.InstanceID]*contact
+	outbox   *outbox
+	homes    map[string][]string // the home regions of events, by their key
 }
 
 // NewService returns a service and registers its handler on the transport.
@@ -99,8 +100,9 @@
 		return nil, err
 	}
 	s := &Service{
-		Config: c, hasher: hasher, events: make(chan event, maxItems), changed: make(chan struct{}, 1),
-		table: NewTable(c.Settings), watchers: make(map[Upstream]*Watcher), lost: make(map[uint64]time.Time), contacts: make(map[peer.InstanceID]*contact),
+		Config: c, hasher: hasher, wake: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+		table: NewTable(c.Settings), watchers: make(map[Upstream]*Watcher), lost: make(map[uint64]time.Time),
+		outbox: newOutbox(c.Settings.SuspectTime.Std(), c.Forward), homes: map[string][]string{},
 	}
 	if c.Transport != nil {
 		c.Transport.Handle(ServiceReport, s.handle)
@@ -181,9 +183,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for f, until := range refused {
-		if until.After(now) && s.table.RecordRefusal(now, f, until.Sub(now), nil) {
+		if !until.After(now) {
+			continue
+		}
+		id := recordedID(f, until)
+		known := s.outbox.known(now, id, "")
+		news := s.table.RecordRefusal(now, f, until.Sub(now), nil)
+		if news {
 			s.Log.Info("request refused, as recorded", "fingerprint", f.Short(), "until", until)
-			s.forward(event{f: f, refusedUntil: until})
+		}
+		switch {
+		case known:
+		case news && s.Forward:
+			s.enqueue(now, event{id: id, f: f, refusedUntil: until})
+		default:
+			s.outbox.see(now, id)
 		}
 	}
 	s.update()
@@ -226,7 +240,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table.Known(f) && s.table.RecordSuccess(now, f, now, home) {
-		s.enqueue(event{f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
+		s.enqueue(now, event{f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
 		s.update()
 	}
 }
@@ -272,7 +286,7 @@
 		loss.At, loss.Began = suspect.CutAt, suspect.Began
 		s.Log.Info("request cut by the loss of an upstream", "fingerprint", suspect.Fingerprint.Short(), "upstream", u.ID, "ran", suspect.CutAt.Sub(suspect.Began).String())
 		if s.countLoss(now, suspect.Fingerprint, loss, suspect.Home) {
-			s.enqueue(event{f: suspect.Fingerprint, loss: loss, homeRegions: suspect.Home})
+			s.enqueue(now, event{f: suspect.Fingerprint, loss: loss, homeRegions: suspect.Home})
 		}
 	}
 }
@@ -300,26 +314,36 @@
 	}
 }
 
-// enqueue queues an event for the other instances. If the queue is full, they are told all that is known instead. The
-// caller holds mu.
-func (s *Service) enqueue(e event) {
-	select {
-	case s.events <- e:
-	default:
-		for _, c := range s.contacts {
-			c.informed = false
-		}
+// recordedID returns the ID of a refusal in the store, which is the same at all instances that read it.
+func recordedID(f Fingerprint, until time.Time) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%x recorded %d", f, until.UnixMilli())) | 1
+}
+
+// enqueue hands an event to the outbox. The caller holds mu.
+func (s *Service) enqueue(now time.Time, e event) {
+	if key := homeKey(e.homeRegions); len(e.homeRegions) > 0 && s.homes[key] == nil {
+		s.homes[key] = e.homeRegions
 	}
+	s.outbox.add(now, e)
+	s.signal()
 }
 
-// forward passes on what is new to this instance. The caller holds mu.
-func (s *Service) forward(e event) {
-	if s.Forward {
-		s.enqueue(e)
+func homeKey(regions []string) string { return strings.Join(regions, "\x00") }
+
+// signal makes Run look for something to send.
+func (s *Service) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
 }
 
-func (s *Service) handle(_ context.Context, from peer.InstanceID, data []byte) (proto.Message, error) {
+func (s *Service) handle(ctx context.Context, from peer.InstanceID, data []byte) (proto.Message, error) {
+	// The ages in a report that waited, as while this instance was frozen, are too low by that time. A loss would be
+	// taken for a later one. The sender sends them again.
+	if err := ctx.Err(); err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "the quarantine report came too late", "send it again with the present ages")
+	}
 	var report peerpb.QuarantineReport
 	if err := proto.Unmarshal(data, &report); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "the quarantine report cannot be decoded", "check the release of the calling instance")
@@ -327,39 +351,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.outbox.heard(now, from)
 	for _, item := range report.Items[:min(len(report.Items), maxItems)] {
 		if len(item.GetFingerprint()) != len(Fingerprint{}) {
 			continue
 		}
-		f := Fingerprint(item.GetFingerprint())
-		at := now.Add(-time.Duration(item.GetAgeMillis()) * time.Millisecond)
-		e := event{f: f, homeRegions: item.GetHomeRegions(), from: from}
 		news := false
-		switch {
-		case item.GetCleared():
-			e.cleared, e.loss.At = true, at
-			if news = s.table.RecordSuccess(now, f, at, item.GetHomeRegions()); news {
-				s.forward(e)
-			}
-		case item.GetRefusedMillis() > 0:
-			rest := time.Duration(item.GetRefusedMillis()) * time.Millisecond
-			e.refusedUntil = now.Add(rest)
-			if news = s.table.RecordRefusal(now, f, rest, item.GetHomeRegions()); news {
-				s.Log.Info("request refused, as another instance reported", "fingerprint", f.Short(), "instance", from)
-				s.forward(e)
-			}
-		default:
-			e.loss = Loss{Upstream: item.GetUpstream(), Domain: item.GetDomain(), At: at}
-			if ran := item.GetRanMillis(); ran > 0 {
-				e.loss.Began = at.Add(-time.Duration(ran) * time.Millisecond)
-			}
-			if now.Sub(at) < lostTime {
-				s.lost[e.loss.Upstream] = at
+		if id := item.GetEvent(); id == 0 || !s.outbox.known(now, id, from) {
+			e := eventOf(now, item, from)
+			if news = s.take(now, e); news {
+				s.enqueue(now, e)
+			} else {
+				s.outbox.see(now, id)
 			}
-			if news = s.countLoss(now, f, e.loss, item.GetHomeRegions()); news {
-				s.forward(e)
-			}
-			s.confirmRemoteLoss(now, e.loss)
 		}
 		countReceived(item, news)
 	}
@@ -367,23 +371,62 @@
 	return &peerpb.LimitsAck{}, nil
 }
 
+func eventOf(now time.Time, item *peerpb.QuarantineItem, from peer.InstanceID) event {
+	at := now.Add(-time.Duration(item.GetAgeMillis()) * time.Millisecond)
+	e := event{id: item.GetEvent(), f: Fingerprint(item.GetFingerprint()), homeRegions: item.GetHomeRegions(), from: from}
+	switch kindOf(item) {
+	case kindClear:
+		e.cleared, e.loss.At = true, at
+	case kindRefusal:
+		e.refusedUntil = now.Add(time.Duration(item.GetRefusedMillis()) * time.Millisecond)
+	default:
+		e.loss = Loss{Upstream: item.GetUpstream(), Domain: item.GetDomain(), At: at}
+		if ran := item.GetRanMillis(); ran > 0 {
+			e.loss.Began = at.Add(-time.Duration(ran) * time.Millisecond)
+		}
+	}
+	return e
+}
+
+// take applies an event of another instance and reports whether it is news. The caller holds mu.
+func (s *Service) take(now time.Time, e event) (news bool) {
+	switch {
+	case e.cleared:
+		return s.table.RecordSuccess(now, e.f, e.loss.At, e.homeRegions)
+	case !e.refusedUntil.IsZero():
+		if news = s.table.RecordRefusal(now, e.f, e.refusedUntil.Sub(now), e.homeRegions); news {
+			s.Log.Info("request refused, as another instance reported", "fingerprint", e.f.Short(), "instance", e.from)
+		}
+		return news
+	}
+	if now.Sub(e.loss.At) < lostTime {
+		s.lost[e.loss.Upstream] = e.loss.At
+	}
+	news = s.countLoss(now, e.f, e.loss, e.homeRegions)
+	s.confirmRemoteLoss(now, e.loss)
+	return news
+}
+
 // Run sends reports and removes expired records until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	ticker := time.NewTicker(stepInterval)
 	defer ticker.Stop()
+	again := time.NewTimer(stepInterval)
+	defer again.Stop()
 	defer s.calls.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case e := <-s.events:
-			s.sendAll(ctx, s.drain(e))
 		case now := <-ticker.C:
 			s.expire(now)
 			s.failures.log(now, s.Log)
-			s.informContacts(ctx)
+		case <-s.wake:
 		case <-s.Appeared:
-			s.informContacts(ctx)
+		case <-again.C:
+		}
+		if wait := s.sendDue(ctx); wait > 0 {
+			again.Reset(wait)
 		}
 	}
 }
@@ -392,119 +435,176 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.Expire(now)
+	s.outbox.expire(now)
+	s.expireHomes()
 	maps.DeleteFunc(s.watchers, func(_ Upstream, w *Watcher) bool { return w.idle(now) })
 	maps.DeleteFunc(s.lost, func(_ uint64, at time.Time) bool { return now.Sub(at) > lostTime })
 	s.update()
 }
 
-// drain collects all queued events, so that the events of one loss are sent in one report.
-func (s *Service) drain(first event) []event {
-	events := []event{first}
-	for len(events) < maxItems {
-		select {
-		case e := <-s.events:
-			events = append(events, e)
-		default:
-			return events
-		}
+// expireHomes forgets home regions that no event names any more. The caller holds mu.
+func (s *Service) expireHomes() {
+	if len(s.homes) == 0 {
+		return
 	}
-	return events
+	used := map[string]bool{}
+	for _, e := range s.outbox.events {
+		used[homeKey(e.homeRegions)] = true
+	}
+	for _, r := range s.table.records {
+		used[homeKey(r.homeRegions)] = true
+	}
+	maps.DeleteFunc(s.homes, func(key string, _ []string) bool { return !used[key] })
 }
 
-// sendAll sends each event only to the instances in its home regions.
-func (s *Service) sendAll(ctx context.Context, events []event) {
-	now := time.Now()
-	batches := make(map[peer.InstanceID][]*peerpb.QuarantineItem)
-	for _, e := range events {
-		for _, to := range s.InstancesIn(e.homeRegions) {
-			if to != s.Transport.Self() && to != e.from {
-				batches[to] = append(batches[to], newItem(now, e))
-			}
-		}
+// audience holds the instances in home regions, by the key of the regions.
+type audience map[string]map[peer.InstanceID]bool
+
+// has reports whether an instance is in the regions, and whether these regions were looked up.
+func (a audience) has(regions []string, id peer.InstanceID) (in, known bool) {
+	if len(regions) == 0 {
+		return true, true
 	}
-	for to, items := range batches {
-		s.send(ctx, to, items, false)
+	ids, known := a[homeKey(regions)]
+	return ids[id], known
+}
+
+// audience looks up the instances in all home regions that events have named. InstancesIn is called without holding mu.
+func (s *Service) audience() audience {
+	s.mu.RLock()
+	homes := maps.Clone(s.homes)
+	s.mu.RUnlock()
+	a := audience{}
+	for key, regions := range homes {
+		a[key] = map[peer.InstanceID]bool{}
+		for _, id := range s.InstancesIn(regions) {
+			a[key][id] = true
+		}
 	}
+	return a
 }
 
-func newItem(now time.Time, e event) *peerpb.QuarantineItem {
-	item := &peerpb.QuarantineItem{Fingerprint: e.f[:], HomeRegions: e.homeRegions}
-	if !e.refusedUntil.IsZero() {
-		item.RefusedMillis = millis(e.refusedUntil.Sub(now))
-		return item
+// sendDue starts the calls that are due and returns after which time to look again, or 0.
+func (s *Service) sendDue(ctx context.Context) time.Duration {
+	if s.Transport == nil {
+		return 0
 	}
-	item.Upstream, item.Domain, item.Cleared, item.AgeMillis = e.loss.Upstream, e.loss.Domain, e.cleared, millis(now.Sub(e.loss.At))
-	if !e.loss.Began.IsZero() {
-		item.RanMillis = max(millis(e.loss.At.Sub(e.loss.Began)), 1)
+	present := slices.DeleteFunc(slices.Clone(s.InstancesIn(nil)), func(id peer.InstanceID) bool { return id == s.Transport.Self() })
+	homes := s.audience()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.outbox.setPresent(now, present, func(id peer.InstanceID) bool { return s.Forward || s.isSyncSender(id, present) })
+	ids, wait := s.outbox.due(now)
+	for _, id := range ids {
+		if left := s.outbox.allowed(now); left > 0 {
+			return shorter(wait, left)
+		}
+		s.sendTo(ctx, now, id, homes)
 	}
-	return item
+	return wait
 }
 
-func millis(d time.Duration) uint32 { return uint32(min(max(0, d/time.Millisecond), math.MaxUint32)) }
-
-// send sends items to another instance; all tells that they are all that this one knows. If the call fails, the next
-// one sends everything.
-func (s *Service) send(ctx context.Context, to peer.InstanceID, items []*peerpb.QuarantineItem, all bool) {
+// sendTo starts a call with what a contact has not got. The caller holds mu.
+func (s *Service) sendTo(ctx context.Context, now time.Time, to peer.InstanceID, homes audience) {
+	c := s.outbox.contacts[to]
+	positions := s.outbox.collect(c, maxItems, func(e event) (send, known bool) {
+		in, known := homes.has(e.homeRegions, to)
+		return in && s.inForce(now, e), known
+	})
+	report := &peerpb.QuarantineReport{Items: make([]*peerpb.QuarantineItem, 0, len(positions))}
+	for _, p := range positions {
+		report.Items = append(report.Items, newItem(now, s.outbox.at(p)))
+	}
+	refusals := c.refusals && len(positions) < maxItems
+	if refusals {
+		c.refusals = false
+		for _, e := range s.refusalsFor(now, to, homes, maxItems-len(positions)) {
+			report.Items = append(report.Items, newItem(now, e))
+		}
+	}
+	if len(report.Items) == 0 {
+		return
+	}
+	s.outbox.called(now, c, proto.Size(report))
 	s.calls.Go(func() {
-		var err error
-		for chunk := range slices.Chunk(items, maxItems) {
-			callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
-			err = s.Transport.Call(callCtx, to, ServiceReport, &peerpb.QuarantineReport{Items: chunk}, &peerpb.LimitsAck{})
-			cancel()
-			countSent(chunk)
-			if err != nil {
-				callsFailed.Inc()
-				break
-			}
+		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		defer cancel()
+		err := s.Transport.Call(callCtx, to, ServiceReport, report, &peerpb.LimitsAck{})
+		countSent(report.Items)
+		gone := errors.Is(err, peer.ErrOtherIncarnation)
+		switch {
+		case err == nil:
 			callsAnswered.Inc()
+		case gone:
+			callsReplaced.Inc()
+		default:
+			callsFailed.Inc()
 		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		c := s.contacts[to]
-		if c == nil && err != nil {
-			c = &contact{}
-			s.contacts[to] = c
+		ended := time.Now()
+		if err != nil && ctx.Err() == nil {
+			s.failures.add(ended, to, err)
 		}
-		if c != nil && all {
-			c.calling = false
+		s.mu.Lock()
+		if err == nil {
+			c.succeeded()
+		} else {
+			c.failed(ended, positions, refusals, gone, rand.Float64())
 		}
-		if err != nil {
-			c.informed = false
-			s.failures.add(time.Now(), to, err)
+		waiting := s.outbox.waiting(c)
+		s.mu.Unlock()
+		if waiting {
+			s.signal()
 		}
 	})
 }
 
-// informContacts sends all that is known to instances that lack a report, and to new ones. Unless reports are forwarded,
-// two instances, chosen by hash, do so for a new one.
-func (s *Service) informContacts(ctx context.Context) {
-	if s.Transport == nil {
-		return
+// inForce reports whether an event still says something: it is not if the request was answered since.
+func (s *Service) inForce(now time.Time, e event) bool {
+	r := s.table.records[e.f]
+	switch {
+	case !e.refusedUntil.IsZero():
+		return now.Before(e.refusedUntil) && r != nil && now.Before(r.refusedUntil)
+	case e.cleared:
+		return r != nil
 	}
-	present := s.InstancesIn(nil)
-	s.mu.Lock()
-	maps.DeleteFunc(s.contacts, func(id peer.InstanceID, _ *contact) bool { return !slices.Contains(present, id) })
-	var uninformed []peer.InstanceID
-	for _, id := range present {
-		if id == s.Transport.Self() {
-			continue
-		}
-		c := s.contacts[id]
-		if c == nil {
-			c = &contact{informed: !s.Forward && !s.isSyncSender(id, present)}
-			s.contacts[id] = c
-		}
-		if !c.informed && !c.calling {
-			c.informed, c.calling = true, true
-			uninformed = append(uninformed, id)
+	return r != nil && e.loss.At.After(r.clearedAt) && e.loss.Upstream != unknownUpstream
+}
+
+// refusalsFor returns the refusals in force whose home regions include the instance: the losses that led to them may be
+// too old to count there. The caller holds mu.
+func (s *Service) refusalsFor(now time.Time, to peer.InstanceID, homes audience, limit int) (events []event) {
+	for f, r := range s.table.records {
+		in, _ := homes.has(r.homeRegions, to)
+		if in && r.settled(now) && len(events) < limit {
+			id := xxhash.Sum64String(fmt.Sprintf("%x refused %s %d", f, s.Transport.Self(), r.refusedAt.UnixNano())) | 1
+			events = append(events, event{id: id, f: f, refusedUntil: r.refusedUntil, homeRegions: r.homeRegions})
 		}
 	}
-	s.mu.Unlock()
-	for _, id := range uninformed {
-		s.send(ctx, id, s.itemsFor(id), true)
+	return events
+}
+
+// age returns how long ago an event was. The monotonic clock stands still while the process is frozen and the wall
+// clock does not, so the longer of the two is taken: an event whose age is too low would count as a later one elsewhere.
+func age(now, at time.Time) time.Duration { return max(now.Sub(at), now.Round(0).Sub(at.Round(0))) }
+
+func newItem(now time.Time, e event) *peerpb.QuarantineItem {
+	item := &peerpb.QuarantineItem{Fingerprint: e.f[:], HomeRegions: e.homeRegions, Event: e.id}
+	if !e.refusedUntil.IsZero() {
+		item.RefusedMillis = millis(e.refusedUntil.Sub(now))
+		return item
+	}
+	item.Upstream, item.Domain, item.Cleared, item.AgeMillis = e.loss.Upstream, e.loss.Domain, e.cleared, millis(age(now, e.loss.At))
+	if !e.loss.Began.IsZero() {
+		item.RanMillis = max(millis(e.loss.At.Sub(e.loss.Began)), 1)
 	}
+	return item
 }
 
+func millis(d time.Duration) uint32 { return uint32(min(max(0, d/time.Millisecond), math.MaxUint32)) }
+
+// isSyncSender reports whether this instance is one of the two, chosen by hash, that tell a new one all that is known
+// where reports are not forwarded.
 func (s *Service) isSyncSender(id peer.InstanceID, present []peer.InstanceID) bool {
 	rank := func(other peer.InstanceID) uint64 { return xxhash.Sum64String(string(id) + "\x00" + string(other)) }
 	candidates := slices.DeleteFunc(slices.Clone(present), func(other peer.InstanceID) bool {
@@ -514,28 +614,3 @@
 	slices.SortFunc(candidates, func(a, b peer.InstanceID) int { return cmp.Compare(rank(a), rank(b)) })
 	return slices.Contains(candidates[:min(syncSenders, len(candidates))], s.Transport.Self())
 }
-
-// itemsFor returns the losses and refusals of requests whose home regions include the instance.
-func (s *Service) itemsFor(id peer.InstanceID) []*peerpb.QuarantineItem {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	var items []*peerpb.QuarantineItem
-	now := time.Now()
-	for f, r := range s.table.records {
-		if !slices.Contains(s.InstancesIn(r.homeRegions), id) {
-			continue
-		}
-		if !r.clearedAt.IsZero() {
-			items = append(items, newItem(now, event{f: f, loss: Loss{At: r.clearedAt}, cleared: true, homeRegions: r.homeRegions}))
-		}
-		for _, l := range r.losses {
-			if l.Upstream != unknownUpstream {
-				items = append(items, newItem(now, event{f: f, loss: l, homeRegions: r.homeRegions}))
-			}
-		}
-		if r.settled(now) {
-			items = append(items, newItem(now, event{f: f, refusedUntil: r.refusedUntil, homeRegions: r.homeRegions}))
-		}
-	}
-	return items
-}
--- a/pkg/quarantine/telemetry.go
+++ b/pkg/quarantine/telemetry.go
@@ -40,6 +40,7 @@
 
 	callsAnswered = metrics.GetOrCreateCounter(`turmericsail_quarantine_report_calls_total{outcome="answered"}`)
 	callsFailed   = metrics.GetOrCreateCounter(`turmericsail_quarantine_report_calls_total{outcome="failed"}`)
+	callsReplaced = metrics.GetOrCreateCounter(`turmericsail_quarantine_report_calls_total{outcome="replaced"}`)
 )
 
 func init() {
