placement, entry: let a flooding workspace leave scarce upstreams to others

Under overload all requests were refused with the same probability, so the flood of one workspace pushed out the others. A workspace that asks for more than twice as much of its limit as the others of theirs, in one class and pool, now neither waits nor takes the last slots while the pool is overloaded. Requests without a workspace, and of workspaces without a limit, are placed as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -95,7 +95,7 @@
 	pool := x.currentPool()
 	exclude = withoutLosses(&pool, &x.route, exclude, x.avoid)
 	permit, err := x.e.ports.Placement.Acquire(a.ctx, AcquireRequest{
-		Pool: &pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.callerElapsed),
+		Pool: &pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, WorkspaceRate: x.workspaceRate(), Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.callerElapsed),
 	})
 	if err != nil {
 		a.stop(failPlacement, err)
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -16,6 +16,8 @@
 	Route     *table.Route
 	Class     table.Class
 	Workspace string
+	// WorkspaceRate is the limit of the workspace in requests per second; zero if it has none or no key named it.
+	WorkspaceRate float64
 	// Exclude lists the IDs of upstreams that earlier attempts of the request used.
 	Exclude []string
 	// Hedge is set for the second copy of a request; such a copy should not queue.
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -49,6 +49,13 @@
 	return &w, ok
 }
 
+func (x *exchange) workspaceRate() float64 {
+	if x.keyWorkspace == nil {
+		return 0
+	}
+	return x.keyWorkspace.RatePerSecond
+}
+
 // keyRevoked reports whether the key of the request was removed since it was admitted. A request may wait for an
 // upstream for as long as its deadline allows, and must not be sent then.
 func (x *exchange) keyRevoked() bool {
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -375,7 +375,7 @@
 func (p *classRecorder) Acquire(_ context.Context, r AcquireRequest) (Permit, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.seen = append(p.seen, fmt.Sprintf("%s %s %s %v", r.Workspace, r.Class, r.Route.Class, r.Route.HomeRegions))
+	p.seen = append(p.seen, fmt.Sprintf("%s %v %s %s %v", r.Workspace, r.WorkspaceRate, r.Class, r.Route.Class, r.Route.HomeRegions))
 	return nil, errors.New("no upstream")
 }
 
@@ -387,9 +387,9 @@
 	route.Class, route.Workspace, route.WorkspaceHeader = table.ClassBulk, "label", "X-Workspace"
 	h := newHarness(t, route, nil, withPorts(func(ports *Ports) { ports.Placement = p }))
 	w := acme("good")
-	w.HomeRegions = []string{"north"}
+	w.HomeRegions, w.RatePerSecond = []string{"north"}, 12.5
 	h.workspaces = []table.Workspace{w}
 	h.apply()
 	is.Equal(h.do("GET", "/", nil, append(bearer("good"), "X-Workspace", "other")...).status, 503)
-	is.Equal(p.seen, []string{"acme critical critical [north]"})
+	is.Equal(p.seen, []string{"acme 12.5 critical critical [north]"})
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -52,6 +52,7 @@
 func (p *placementAdapter) Acquire(ctx context.Context, r entry.AcquireRequest) (entry.Permit, error) {
 	c, err := p.policy.Choose(ctx, sampled.Request{
 		ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge,
+		Workspace: r.Workspace, Rate: r.WorkspaceRate,
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -151,6 +151,7 @@
 	start    time.Time
 	pressure float64 // pressure of the pool when the choice began
 	pool     *pressure
+	flooding bool // the request's workspace asks for more than its share
 	sawFull  bool // a probe for this request found an upstream without headroom
 }
 
@@ -208,7 +209,7 @@
 // request a few milliseconds later.
 func (ch *chooser) yields(r Reading) bool {
 	lastSlot := r.Loaded && hasHeadroom(r) && !hasHeadroom(r.plus(1))
-	return ch.overloaded() && lastSlot && rand.Float64() < yieldShare*ch.pressure
+	return ch.overloaded() && lastSlot && (ch.flooding || rand.Float64() < yieldShare*ch.pressure)
 }
 
 // pressure is a moving average of the share of requests that found no upstream with
@@ -270,7 +271,11 @@
 func (ch *chooser) overloaded() bool { return ch.pressure > overloadPressure }
 
 // maxWait returns the longest wait for an upstream with headroom; it falls quadratically with rising pressure.
+// While the pool is overloaded, a flooding workspace does not wait, since it would take the place of others.
 func (ch *chooser) maxWait() time.Duration {
+	if ch.flooding && ch.overloaded() {
+		return 0
+	}
 	slack := 1 - ch.pressure
 	return time.Duration(maxWaitShare * slack * slack * float64(ch.target))
 }
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -66,6 +66,10 @@
 	Start  time.Time // of the whole request
 	Tried  []string  // IDs of the upstreams of earlier attempts
 	Urgent bool      // do not wait for a better upstream
+	// Workspace and Rate, its limit in requests per second, make the workspaces of a class share a scarce pool. Without
+	// them the request is treated like any other.
+	Workspace string
+	Rate      float64
 }
 
 // Policy chooses upstreams for the requests of one instance. It is safe for concurrent use.
@@ -82,13 +86,14 @@
 
 	mu        sync.Mutex
 	pressures map[string]*pressure // by pool
+	demands   map[demandKey]*demand
 	pending   map[string]int       // requests of this instance in flight, by upstream
 	coldAt    map[string]time.Time // time of the last request to each cold upstream
 }
 
 // New returns a policy for the instance at the given location.
 func New(place Location, prober Prober, probes *ProbeBudget, log logr.Logger) *Policy {
-	return &Policy{location: place, prober: prober, probes: probes, log: log, suspects: newSuspicions(), sizes: newResponseSizes(), readings: newLastReadings(), pending: map[string]int{}, pressures: map[string]*pressure{}, coldAt: map[string]time.Time{}}
+	return &Policy{location: place, prober: prober, probes: probes, log: log, suspects: newSuspicions(), sizes: newResponseSizes(), readings: newLastReadings(), pending: map[string]int{}, pressures: map[string]*pressure{}, demands: map[demandKey]*demand{}, coldAt: map[string]time.Time{}}
 }
 
 // SetIntake sets the limits of upstreams; it is called before the first choice.
@@ -114,7 +119,7 @@
 		deadline = r.Start.Add(r.Route.Deadline.Std())
 	}
 	recent := p.poolPressure(r.Pool.Name)
-	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: recent.level(), pool: recent}
+	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: recent.level(), pool: recent, flooding: p.floods(r, time.Now())}
 	rounds := 0
 	for first := true; ; first = false {
 		list := p.candidates(r, ch.overloaded())
@@ -156,7 +161,7 @@
 			}
 		case v == refuse || r.Urgent:
 			p.meter.refused(r)
-			p.logRefused(r, list, b, rounds)
+			p.logRefused(r, ch, list, b, rounds)
 			return nil, &RefusedError{fault.New(fault.Exhausted, "no upstream can serve the request in time", "try again with a delay"), ch.retryAfter(time.Now(), rand.Float64())}
 		}
 		if !pause.For(ctx, reprobeDelay) {
@@ -167,7 +172,7 @@
 
 // logRefused logs why a request was not placed: how many candidates responded and
 // the reading of the best one.
-func (p *Policy) logRefused(r Request, list []*candidate, b *candidate, rounds int) {
+func (p *Policy) logRefused(r Request, ch *chooser, list []*candidate, b *candidate, rounds int) {
 	answered := 0
 	for _, c := range list {
 		if c.reading.Upstream != "" {
@@ -180,7 +185,7 @@
 	}
 	p.log.Info("not placed", "request", r.ID, "pool", r.Pool.Name, "rounds", rounds, "candidates", len(list), "answered", answered,
 		"waited", time.Since(r.Start).String(), "best", reading.Upstream, "running", reading.Running, "waiting", reading.Waiting,
-		"slots", reading.Slots, "slowdown", reading.Slowdown)
+		"slots", reading.Slots, "slowdown", reading.Slowdown, "flooding", ch.flooding)
 }
 
 // probeCandidates probes the candidates in groups until one fits.
--- a/pkg/placement/sampled/sim_test.go
+++ b/pkg/placement/sampled/sim_test.go
@@ -268,10 +268,15 @@
 
 // request simulates one request and returns a function that selects the counter of its outcome.
 func (w *simWorld) request(p *Policy, work time.Duration) func(*result) *int {
+	return w.requestOf("", 0, p, work)
+}
+
+// requestOf is request for a workspace with the given limit.
+func (w *simWorld) requestOf(workspace string, rate float64, p *Policy, work time.Duration) func(*result) *int {
 	start := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(simDeadline))
 	defer cancel()
-	c, err := p.Choose(ctx, Request{Pool: &w.pool, Route: &w.route, Start: start})
+	c, err := p.Choose(ctx, Request{Pool: &w.pool, Route: &w.route, Start: start, Workspace: workspace, Rate: rate})
 	if err != nil {
 		return func(r *result) *int { return &r.refused }
 	}
