--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -123,7 +123,7 @@
 // acquireRequest describes an attempt to placement.
 func (x *exchange) acquireRequest(pool *table.Pool, exclude []string, hedge bool) AcquireRequest {
 	return AcquireRequest{
-		Pool: pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.callerElapsed),
+		Pool: pool, Route: &x.route, Class: x.route.Class, Workspace: x.workspace, WorkspaceRate: x.workspaceRate(), Exclude: exclude, Hedge: hedge, RequestID: x.id, Start: x.start.Add(-x.callerElapsed),
 	}
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -64,7 +64,10 @@
 }
 
 func sampledRequest(r entry.AcquireRequest) sampled.Request {
-	return sampled.Request{ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge}
+	return sampled.Request{
+		ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge,
+		Workspace: r.Workspace, Rate: r.WorkspaceRate,
+	}
 }
 
 type permit struct{ *sampled.Choice }
