platform, follow: decode roll-out orders, their status and their stage

Roll-outs need the version of each upstream, the operator's order, the status and the stage that the instances keep in the store. They are decoded and offered by Follower.Rollouts; a malformed order is ignored with a log line. store.Swapper writes several keys by compare-and-swap in one call.

Tests of platform (decoding, swap), follow, discovery, schema and table pass.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/turmericsail/turmericsail/internal/discovery"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/membership"
+	"github.com/turmericsail/turmericsail/pkg/rollout"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -26,6 +27,8 @@
 	Limits settings.Limits
 	// Refused lists the rows that are not in force because of their errors.
 	Refused table.Problems
+	// Rollouts holds the latest roll-out of each service that had one.
+	Rollouts map[string]rollout.Record `json:",omitempty"`
 }
 
 // Source provides the tables in force; *configsync.Syncer implements it.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -65,7 +65,9 @@
 			p.UpstreamsOut = append(p.UpstreamsOut, in.ID)
 		}
 		seen[in.ID] = true
-		p.Upstreams = append(p.Upstreams, table.Upstream{ID: in.ID, Address: in.Address, Region: in.Region, FailureDomain: in.FailureDomain})
+		p.Upstreams = append(p.Upstreams, table.Upstream{
+			ID: in.ID, Address: in.Address, Region: in.Region, FailureDomain: in.FailureDomain, Version: in.Version, StartMillis: in.StartMillis,
+		})
 	}
 	return p
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -119,6 +119,7 @@
 	updates       chan update
 	stateEnded    chan struct{} // closed when stateLoop has ended
 	sharedChanged chan struct{}
+	rollouts      atomic.Pointer[map[string]Rollout] // by service; nil while there are none
 
 	// Owned by syncLoop.
 	listed       bool
@@ -503,6 +504,7 @@
 	sizes := state.fleetSizes()
 	f.fleet.Store(&sizes)
 	f.publishShared(state.sharedValues())
+	f.publishRollouts(state.rollouts())
 	tables, problems := state.tables()
 	if tables == nil {
 		return
@@ -510,7 +512,7 @@
 	if old := f.Snapshot().Tables; old == nil || old.Revision != tables.Revision {
 		f.log.Info("configuration in force", "version", tables.Revision, "routes", len(tables.Routes), "pools", len(tables.Pools))
 	}
-	f.current.Store(&control.Snapshot{Tables: tables, Limits: state.config.Limits, Refused: problems})
+	f.current.Store(&control.Snapshot{Tables: tables, Limits: state.config.Limits, Refused: problems, Rollouts: f.rolloutRecords()})
 }
 
 // rendezvousWeight orders the readers of a region for this instance (rendezvous hashing).
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/turmericsail/turmericsail/internal/discovery"
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/rollout"
 	"github.com/turmericsail/turmericsail/pkg/store"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
@@ -29,9 +30,14 @@
 	// EvacuatedFailureDomain is a failure domain whose upstreams get no new requests.
 	EvacuatedFailureDomain string
 	Upstream               *store.ListedInstance
-	reader                 *Reader
-	fleetSize              *fleetSize
-	shared                 *sharedValue
+	// RolloutOrder is an order to move a service to a version; its revision is that of the entry.
+	RolloutOrder *rollout.Order
+	// RolloutStatus is what the operator was told of a roll-out. Its state is empty if it cannot be read.
+	RolloutStatus *rollout.Status
+	rolloutRecord *rolloutRecord
+	reader        *Reader
+	fleetSize     *fleetSize
+	shared        *sharedValue
 }
 
 // Codec decodes the keys that the operator and the upstreams write.
@@ -163,6 +169,8 @@
 		decoded.fleetSize, err = decodeFleetSize(e)
 	} else if strings.HasPrefix(e.Key, sharedPrefix) {
 		decoded.shared, err = decodeShared(e)
+	} else if strings.HasPrefix(e.Key, rolloutsPrefix) {
+		decoded.rolloutRecord, err = decodeRolloutRecord(e)
 	} else {
 		decoded, err = s.codec.Decode(e)
 	}
@@ -170,7 +178,7 @@
 		err = table.NewTables(decoded.Config.Version, decoded.Config.Routes, decoded.Config.Pools).CheckReferences().Err()
 	}
 	if err != nil {
-		decoded = DecodedEntry{}
+		decoded = DecodedEntry{rolloutRecord: decoded.rolloutRecord}
 	}
 	if s.fromCopy {
 		decoded = s.keepNewer(e.Key, decoded)
@@ -187,7 +195,7 @@
 	switch {
 	case d.Upstream != nil && !d.Upstream.Leaving:
 		return s.removalsHeldUntil
-	case d.EvacuatedFailureDomain != "", d.fleetSize != nil:
+	case d.EvacuatedFailureDomain != "", d.fleetSize != nil, d.RolloutOrder != nil, d.rolloutRecord != nil:
 		return s.restoredUntil
 	}
 	return time.Time{}
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -81,6 +81,8 @@
 	// StartMillis is the time of the instance's start in Unix milliseconds, or 0 if the list does not contain it.
 	// The same ID with another StartMillis is a new process.
 	StartMillis int64
+	// Version is the version of the service that the instance runs, or empty if the list does not contain it.
+	Version string
 	// Admin is the host:port of the admin listener of a turmericsail instance, else empty.
 	Admin string
 }
@@ -192,6 +194,21 @@
 	Write(ctx context.Context, key string, value []byte) error
 }
 
+// Swap replaces the value of a key that still has the given revision; 0 means that the key must not exist.
+type Swap struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+}
+
+// Swapper writes several keys at once by compare-and-swap.
+type Swapper interface {
+	// Swap writes all keys if each still has its revision, or none of them. A Conflict fault means that one has another
+	// revision. After an OutcomeUnknown fault they may have been written, or may be written later; repeating
+	// the same swap is safe, since only one of them can find the revisions.
+	Swap(ctx context.Context, swaps ...Swap) error
+}
+
 // ChangeLog is a store that reports its changes one by one.
 type ChangeLog interface {
 	// List returns the entries under prefix and a position. The entries may lack changes after that position,
--- a/pkg/table/table.go
+++ b/pkg/table/table.go
@@ -120,6 +120,10 @@
 	Region string `json:"region"`
 	// FailureDomain is the failure domain of the upstream.
 	FailureDomain string `json:"failure_domain"`
+	// Version is the version that the upstream states in the platform's list, or empty. It is no field of a row.
+	Version string `json:"-"`
+	// StartMillis is the time of the upstream's start in Unix milliseconds, or 0 if the list does not state it.
+	StartMillis int64 `json:"-"`
 }
 
 // ColdStart limits the load on an upstream that has just started.
