--- /dev/null
+++ b/pkg/rollout/evidence.go
@@ -0,0 +1,167 @@
+package rollout
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Counts are the ended attempts at the upstreams of a version.
+type Counts struct {
+	// Answers counts the attempts that say something about the version, and Failures those of them that failed.
+	Answers, Failures int
+	// Timed counts the attempts whose time says something about the version, and Slow those of them that were slow.
+	Timed, Slow int
+}
+
+func (c Counts) plus(o Counts) Counts {
+	return Counts{c.Answers + o.Answers, c.Failures + o.Failures, c.Timed + o.Timed, c.Slow + o.Slow}
+}
+
+// minus returns the difference, or all of c if o is not an earlier state of it.
+func (c Counts) minus(o Counts) Counts {
+	if o.Answers > c.Answers || o.Failures > c.Failures || o.Timed > c.Timed || o.Slow > c.Slow {
+		return c
+	}
+	return Counts{c.Answers - o.Answers, c.Failures - o.Failures, c.Timed - o.Timed, c.Slow - o.Slow}
+}
+
+// Bad returns the number of bad answers.
+func (c Counts) Bad() int { return c.Failures + c.Slow }
+
+// Pair holds the counts of both versions on one route.
+type Pair struct{ Old, Target Counts }
+
+// Evidence is what is known of both versions.
+type Evidence struct {
+	// Routes holds the counts by route.
+	Routes map[string]Pair
+	// Upstreams holds the counts of those upstreams of the target version that gave bad answers.
+	Upstreams map[string]Counts
+}
+
+func newEvidence() Evidence {
+	return Evidence{Routes: map[string]Pair{}, Upstreams: map[string]Counts{}}
+}
+
+// add adds what is in next and not in last.
+func (e *Evidence) add(next, last Evidence) {
+	for route, p := range next.Routes {
+		old, sum := last.Routes[route], e.Routes[route]
+		e.Routes[route] = Pair{sum.Old.plus(p.Old.minus(old.Old)), sum.Target.plus(p.Target.minus(old.Target))}
+	}
+	for id, c := range next.Upstreams {
+		e.Upstreams[id] = e.Upstreams[id].plus(c.minus(last.Upstreams[id]))
+	}
+}
+
+// total returns the counts of all routes.
+func (e *Evidence) total() (all Pair) {
+	for _, p := range e.Routes {
+		all = Pair{all.Old.plus(p.Old), all.Target.plus(p.Target)}
+	}
+	return all
+}
+
+const (
+	// condemnBelow is the probability of evidence, if the versions were equal, below which a version is condemned. Evidence is
+	// looked at about 1,000 times in a roll-out, so a good version is condemned in 1 of 1,000.
+	condemnBelow = 1e-6
+	// remainBelow is the probability below which evidence must stay without the worst quarter of the upstreams.
+	remainBelow = 1e-3
+	// suspectBelow is the probability below which the next stage has to wait.
+	suspectBelow = 2e-3
+	// minFailureExcess and minSlowExcess are by how much the share of bad answers must exceed that of the old version.
+	// Large numbers make small differences certain, such as those of a version with fewer upstreams near each caller.
+	minFailureExcess = 0.02
+	minSlowExcess    = 0.1
+	// worstShare is the share of the upstreams whose bad answers may have another cause than the version: a quarter has a
+	// noisy neighbour at any time, and some are killed.
+	worstShare = 0.25
+)
+
+// finding is the result of a comparison.
+type finding int
+
+const (
+	inconspicuous finding = iota
+	suspicious
+	condemned
+)
+
+// compare returns the worst finding of all routes and of their sum. used is the number of upstreams that the
+// target version has in use.
+func (e *Evidence) compare(used int) (worst finding, reason string) {
+	failed := worstOf(e.Upstreams, used, func(c Counts) int { return c.Failures })
+	slow := worstOf(e.Upstreams, used, func(c Counts) int { return c.Slow })
+	look := func(what string, p Pair) {
+		if f := judge(p.Target.Failures, p.Target.Answers, p.Old.Failures, p.Old.Answers, failed, minFailureExcess); f > worst {
+			worst, reason = f, what+": failures"
+		}
+		if f := judge(p.Target.Slow, p.Target.Timed, p.Old.Slow, p.Old.Timed, slow, minSlowExcess); f > worst {
+			worst, reason = f, what+": slow answers"
+		}
+	}
+	look("all routes", e.total())
+	for route, p := range e.Routes {
+		look("route "+route, p)
+	}
+	return worst, reason
+}
+
+// worstOf returns the number of bad answers of the worst upstreams, whose cause may not be the version.
+func worstOf(upstreams map[string]Counts, used int, bad func(Counts) int) (sum int) {
+	list := make([]int, 0, len(upstreams))
+	for _, c := range upstreams {
+		list = append(list, bad(c))
+	}
+	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(b, a) })
+	n := max(int(math.Ceil(worstShare*float64(used))), 1)
+	for _, k := range list[:min(n, len(list))] {
+		sum += k
+	}
+	return sum
+}
+
+// judge compares k1 bad answers of n1 of the target version with k0 of n0 of the old one. elsewhere is the number of bad ones
+// that may have another cause.
+func judge(k1, n1, k0, n0, elsewhere int, minExcess float64) finding {
+	if k1 < 2 || float64(k1)/float64(n1) < float64(k0)/float64(max(n0, 1))+minExcess {
+		return inconspicuous
+	}
+	p := fisher(k1, n1, k0, n0)
+	rest := k1 - elsewhere
+	switch {
+	case p < condemnBelow && rest > 0 && fisher(rest, n1, k0, n0) < remainBelow:
+		return condemned
+	case p < suspectBelow:
+		return suspicious
+	}
+	return inconspicuous
+}
+
+// fisher returns the probability that k1 or more of the k1+k0 bad answers are among n1 of all n1+n0 answers if the versions are
+// equal (Fisher's exact test, one-sided).
+func fisher(k1, n1, k0, n0 int) float64 {
+	bad, all := k1+k0, n1+n0
+	logOf := func(k int) float64 { return logBinomial(n1, k) + logBinomial(n0, bad-k) - logBinomial(all, bad) }
+	sum := 0.0
+	for k := k1; k <= min(bad, n1); k++ {
+		term := math.Exp(logOf(k))
+		sum += term
+		if term < sum*1e-9 {
+			break
+		}
+	}
+	return min(sum, 1)
+}
+
+func logBinomial(n, k int) float64 {
+	if k < 0 || k > n {
+		return math.Inf(-1)
+	}
+	a, _ := math.Lgamma(float64(n + 1))
+	b, _ := math.Lgamma(float64(k + 1))
+	c, _ := math.Lgamma(float64(n - k + 1))
+	return a - b - c
+}
--- /dev/null
+++ b/pkg/rollout/judge.go
@@ -0,0 +1,238 @@
+package rollout
+
+import "time"
+
+const (
+	// reserve is the time before the deadline that is kept for a slow store.
+	reserve = 2600 * time.Millisecond
+	// drainMargin is how much longer than the longest request of the pool the wait after the last stage is: instances learn of
+	// the stage within half a second.
+	drainMargin = 400 * time.Millisecond
+	// stageTime is the planned time of the stages quarter and half: learning of the stage, some answers, and a report.
+	stageTime = 1200 * time.Millisecond
+	// minStageTime is their shortest time, if the plan is late.
+	minStageTime = time.Second
+	// minCanaryTime is the shortest time with answers of the target: upstreams are cold for 3 s.
+	minCanaryTime = 3500 * time.Millisecond
+	// maxCanaryTime bounds the canary stage of orders with a long duration.
+	maxCanaryTime = 20 * time.Second
+	// giveUpTime is the time before the deadline at which a roll-out without a verdict is rolled back, long enough for a write.
+	giveUpTime = 800 * time.Millisecond
+	// silentTime is how long an instance is silent that is taken for dead or cut off.
+	silentTime = 2 * time.Second
+	// learnTime is how long a judge that has just begun collects reports before it decides.
+	learnTime = 1500 * time.Millisecond
+	// recentTime is the length of the window in which a late fault shows that is small among all answers since the order.
+	recentTime = 3 * time.Second
+	// bucketTime is the resolution of the window.
+	bucketTime = 500 * time.Millisecond
+	// minAnswers is the number of answers of the target version without which no stage is justified. A pool with few
+	// requests needs fewer, by minAnswersShare of those of the old version.
+	minAnswers      = 8
+	minAnswersShare = 0.03
+)
+
+// Report is what an instance tells the judge, since it first saw the order.
+type Report struct {
+	// Stage is the stage that is in force at the instance.
+	Stage Stage
+	// Drained is set if the instance has no request at an upstream of another version than the target.
+	Drained bool
+	// Condemned is set if the instance knows from an earlier judge that the version is bad.
+	Condemned bool
+	Evidence  Evidence
+}
+
+// Fleet is what the judge knows of the pool.
+type Fleet struct {
+	// Old and Target are the numbers of upstreams in service of the old version, and of the target version that are warm.
+	Old, Target int
+	// Used is the number of upstreams of the target version that the stage uses.
+	Used int
+	// Limit is the longest time that a request of the pool may take.
+	Limit time.Duration
+}
+
+// Action is what the judge decides.
+type Action string
+
+// Actions of a judge.
+const (
+	Wait     Action = "wait"
+	Advance  Action = "advance"
+	Complete Action = "complete"
+	RollBack Action = "roll back"
+)
+
+// Decision is an action with its reason.
+type Decision struct {
+	Action Action
+	Reason string
+}
+
+// Judge collects the evidence of one roll-out. Its decisions follow from the reports, the record and the time alone, so that a
+// judge that takes over decides the same once the instances have reported to it.
+type Judge struct {
+	began     time.Time
+	instances map[string]heard
+	all       Evidence
+	buckets   []bucket
+	condemned string    // the reason
+	answered  time.Time // of the first answers of the target version
+	atStage   map[Stage]Pair
+}
+
+type heard struct {
+	Report
+	at time.Time
+}
+
+type bucket struct {
+	from time.Time
+	Evidence
+}
+
+// NewJudge returns a judge without evidence.
+func NewJudge(now time.Time) *Judge {
+	return &Judge{began: now, instances: map[string]heard{}, all: newEvidence(), atStage: map[Stage]Pair{}}
+}
+
+// Report records the report of an instance, named by its incarnation. Reports have all that an instance counted, so a lost
+// or repeated one does no harm.
+func (j *Judge) Report(instance string, r Report, now time.Time) {
+	last := j.instances[instance]
+	if n := len(j.buckets); n == 0 || now.Sub(j.buckets[n-1].from) >= bucketTime {
+		j.buckets = append(j.buckets, bucket{now, newEvidence()})
+	}
+	for len(j.buckets) > 1 && now.Sub(j.buckets[0].from) > recentTime {
+		j.buckets = j.buckets[1:]
+	}
+	if !older(r.Evidence, last.Evidence) {
+		j.buckets[len(j.buckets)-1].add(r.Evidence, last.Evidence)
+		j.all.add(r.Evidence, last.Evidence)
+		j.instances[instance] = heard{r, now}
+	}
+	if r.Condemned && j.condemned == "" {
+		j.condemned = "an earlier judge found it bad"
+	}
+	if j.answered.IsZero() && j.all.total().Target.Answers > 0 {
+		j.answered = now
+	}
+}
+
+// older reports whether a report was overtaken by a later one.
+func older(next, last Evidence) bool {
+	n, l := next.total(), last.total()
+	return n.Old.Answers < l.Old.Answers || n.Target.Answers < l.Target.Answers
+}
+
+// Condemned returns why the version is bad, or an empty string. used is the number of its upstreams in use.
+func (j *Judge) Condemned(used int) string {
+	j.look(used)
+	return j.condemned
+}
+
+// look compares the versions, and returns the worst finding.
+func (j *Judge) look(used int) finding {
+	recent := newEvidence()
+	for _, b := range j.buckets {
+		recent.add(b.Evidence, Evidence{})
+	}
+	// The old version gets nothing in the last stage, so that its earlier answers are the measure.
+	if total := j.all.total(); recent.total().Old.Answers < total.Old.Answers/10 {
+		for route, p := range j.all.Routes {
+			recent.Routes[route] = Pair{p.Old, recent.Routes[route].Target}
+		}
+	}
+	worst, reason := j.all.compare(used)
+	if f, r := recent.compare(used); f > worst {
+		worst, reason = f, r+" of the last seconds"
+	}
+	if worst == condemned && j.condemned == "" {
+		j.condemned = reason
+	}
+	return worst
+}
+
+// Instances returns the number of instances that have reported.
+func (j *Judge) Instances() int { return len(j.instances) }
+
+// Total returns the counts of both versions.
+func (j *Judge) Total() Pair { return j.all.total() }
+
+// Decide decides about a running roll-out.
+func (j *Judge) Decide(now time.Time, r *Record, f Fleet) Decision {
+	finding := j.look(f.Used)
+	end := r.Deadline().Add(-giveUpTime)
+	switch {
+	case j.condemned != "":
+		return Decision{RollBack, j.condemned}
+	case now.Sub(j.began) < learnTime && now.Before(end):
+		return Decision{Wait, "collecting reports"}
+	case r.Stage == All && j.drained(now, r, f):
+		return Decision{Complete, "no request is at an old upstream"}
+	case !now.Before(end):
+		return Decision{RollBack, "no verdict before the deadline: " + j.lacks(now, r, f, finding)}
+	}
+	if lack := j.lacks(now, r, f, finding); lack != "" {
+		return Decision{Wait, lack}
+	}
+	if r.Stage == All {
+		return Decision{Wait, "requests may be at old upstreams"}
+	}
+	j.atStage[r.Stage.next()] = j.all.total()
+	return Decision{Advance, "the evidence shows no fault"}
+}
+
+// plan returns when the stage after s begins, as the time since the start.
+func plan(s Stage, duration, limit time.Duration) time.Duration {
+	all := duration - reserve - limit - drainMargin
+	quarter := min(max(all-2*stageTime, minCanaryTime), maxCanaryTime)
+	switch s {
+	case Canary:
+		return quarter
+	case Quarter:
+		return quarter + stageTime
+	}
+	return quarter + 2*stageTime
+}
+
+// lacks returns what is missing for the next stage, or an empty string.
+func (j *Judge) lacks(now time.Time, r *Record, f Fleet, worst finding) string {
+	total := j.all.total()
+	begin := j.atStage[r.Stage]
+	target, old := total.Target.Answers-begin.Target.Answers, total.Old.Answers-begin.Old.Answers
+	switch {
+	case f.Old == 0 && f.Target > 0:
+		return "" // nothing is left to compare with, and nothing else serves the pool
+	case f.Target == 0:
+		return "no upstream of the version is warm"
+	case worst != inconspicuous:
+		return "the answers of the version are suspicious"
+	case r.Stage == All:
+		return ""
+	case now.Sub(r.Started) < plan(r.Stage, r.Duration, f.Limit), now.Sub(r.Since) < minStageTime:
+		return "the stage lasts on"
+	case target < min(minAnswers, int(minAnswersShare*float64(old))):
+		return "too few answers of the version"
+	case r.Stage == Canary && total.Target.Answers > 0 && now.Sub(j.answered) < minCanaryTime && j.answered.Sub(j.began) > learnTime:
+		return "the version has answered for a short time"
+	case r.Stage != Canary && float64(f.Target) < 0.5*float64(f.Old):
+		return "too few upstreams of the version are warm"
+	}
+	return ""
+}
+
+// drained reports whether no request can be at an old upstream: the longest one has ended, and all instances that are
+// heard say so.
+func (j *Judge) drained(now time.Time, r *Record, f Fleet) bool {
+	if f.Old > 0 && now.Sub(r.Since) < f.Limit+drainMargin || f.Target == 0 {
+		return false
+	}
+	for _, h := range j.instances {
+		if now.Sub(h.at) < silentTime && !(h.Stage == All && h.Drained && h.at.After(r.Since)) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -51,6 +51,9 @@
 	All Stage = "all"
 )
 
+// zeroTime is used where only the versions of a record matter.
+var zeroTime time.Time
+
 // canaryShare is the share of the requests that the target version gets in the canary stage. A bad version may get a
 // tenth of all requests until the deadline, which the later stages need in part.
 const canaryShare = 0.06
