gateway: carry out roll-outs

Retries and second copies go to the old version before the last stage. Placement counts pressure and probes of the target's upstreams apart, whose number differs between the stages.

Without a roll-out the data path compares one pointer, and nothing is sent.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -163,6 +163,9 @@
 // Ready reports whether tables are known.
 func (f *Follower) Ready() bool { return f.Snapshot().Tables != nil }
 
+// Confirmed returns when the store last confirmed what this instance knows of it.
+func (f *Follower) Confirmed() time.Time { return f.replica.confirmedAt() }
+
 // Address returns the peer address of a reader.
 func (f *Follower) Address(id peer.InstanceID) (string, bool) {
 	if known := f.readers.Load(); known != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	ControlFollow   = "control.follow"
 	EntryIntake     = "entry.intake"
 	EntryQuarantine = "entry.quarantine"
+	EntryRollout    = "entry.rollout"
 	EntryHTTP       = "entry.http"
 	AdminHTTP       = "admin.http"
 	EntryLeave      = "entry.leave"
@@ -48,6 +49,7 @@
 		{ControlFollow, &followService{cfg: cfg, log: log.WithName(ControlFollow)}},
 		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
 		{EntryQuarantine, &quarantineService{cfg: cfg, log: log.WithName(EntryQuarantine)}},
+		{EntryRollout, &rolloutService{cfg: cfg, log: log.WithName(EntryRollout)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
 		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), grace: bounds.Grace, log: log.WithName(EntryLeave)}},
@@ -125,6 +127,10 @@
 	if err != nil {
 		return err
 	}
+	rollouts, err := kernel.Lookup[*rolloutService](k, EntryRollout)
+	if err != nil {
+		return err
+	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
 	c.mu.Lock()
 	c.budgets = newRetryBudgets(c.bounds, instances)
@@ -134,7 +140,7 @@
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
 		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
 	}, c.log)
-	adapter.bind(c.cfg, c.Entry, c.probes, limits, c.log)
+	adapter.bind(c.cfg, c.Entry, c.probes, limits, rollouts, c.log)
 	return nil
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -13,6 +13,7 @@
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/placement/sampled"
 	"github.com/turmericsail/turmericsail/pkg/retry"
+	"github.com/turmericsail/turmericsail/pkg/rollout"
 	"github.com/turmericsail/turmericsail/pkg/table"
 	"github.com/turmericsail/turmericsail/platform"
 )
@@ -22,6 +23,8 @@
 	policy *sampled.Policy
 	entry  *entry.Entry
 	intake *intakeService
+	// rollouts determines which upstreams of a pool a request may use.
+	rollouts *rolloutService
 }
 
 var (
@@ -29,8 +32,8 @@
 	_ sampled.Prober  = (*placementAdapter)(nil)
 )
 
-func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, limits *intakeService, log logr.Logger) {
-	p.entry, p.intake = e, limits
+func (p *placementAdapter) bind(cfg settings.Settings, e *entry.Entry, probes *sampled.ProbeBudget, limits *intakeService, rollouts *rolloutService, log logr.Logger) {
+	p.entry, p.intake, p.rollouts = e, limits, rollouts
 	p.policy = sampled.New(sampled.Location{Instance: cfg.Instance, Region: cfg.Region, FailureDomain: cfg.FailureDomain}, p, probes, log)
 	p.policy.SetIntake(limits)
 }
@@ -50,22 +53,65 @@
 
 // Acquire implements entry.Placement.
 func (p *placementAdapter) Acquire(ctx context.Context, r entry.AcquireRequest) (entry.Permit, error) {
-	c, err := p.policy.Choose(ctx, sampled.Request{
-		ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge,
-	})
+	request := sampled.Request{ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge}
+	if sides, tracker := p.rollouts.split(r.Pool, time.Now()); sides != nil {
+		return p.acquireSplit(ctx, request, sides, tracker)
+	}
+	c, err := p.policy.Choose(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	return permit{Choice: c}, nil
+}
+
+// targetPart names the upstreams of the version that is rolled out, whose load differs from that of the others.
+const targetPart = "target"
+
+// acquireSplit chooses an upstream of the old or of the target version. A retry or a second copy goes to the old version
+// while there is one in use, so that a bad version costs a request one attempt at most. If the target's upstreams take no
+// request now, because they are cold or full, the old ones do.
+func (p *placementAdapter) acquireSplit(ctx context.Context, r sampled.Request, sides *cachedSides, tracker *rollout.Tracker) (entry.Permit, error) {
+	whole := *r.Pool
+	first := len(r.Tried) == 0 && !r.Urgent
+	if sides.Share >= 1 || sides.Share > 0 && first && rand.Float64() < sides.Share {
+		pool, target := whole, r
+		pool.Upstreams = sides.Target
+		target.Pool, target.Part, target.Urgent = &pool, targetPart, r.Urgent || sides.Share < 1
+		permit, err := p.acquireSide(ctx, target, tracker, true)
+		if err == nil || sides.Share >= 1 || ctx.Err() != nil {
+			return permit, err
+		}
+	}
+	whole.Upstreams = sides.Old
+	r.Pool = &whole
+	return p.acquireSide(ctx, r, tracker, false)
+}
+
+// acquireSide chooses an upstream of one version.
+func (p *placementAdapter) acquireSide(ctx context.Context, r sampled.Request, tracker *rollout.Tracker, toTarget bool) (entry.Permit, error) {
+	attempt := tracker.Begin(r.Route.Name, r.Route.Target.Std(), toTarget)
+	c, err := p.policy.Choose(ctx, r)
 	if err != nil {
+		attempt.End(rollout.NoEvidence, 0)
 		return nil, err
 	}
-	return permit{c}, nil
+	attempt.Placed(c.Upstream.ID, c.Reading.Cold > 0, c.Reading.Slowdown, time.Now())
+	return permit{c, attempt}, nil
 }
 
-type permit struct{ *sampled.Choice }
+type permit struct {
+	*sampled.Choice
+	attempt *rollout.Attempt // nil without a roll-out
+}
 
 // Upstream implements entry.Permit.
 func (p permit) Upstream() table.Upstream { return p.Choice.Upstream }
 
 // Done implements entry.Permit.
 func (p permit) Done(r entry.Result) {
+	if p.attempt != nil {
+		p.attempt.End(versionOutcome(r))
+	}
 	switch {
 	case r.Ending == entry.EndLost, r.Ending == entry.EndTimedOut, r.Ending == entry.EndAnswered && r.Status >= http.StatusInternalServerError:
 		p.Choice.Done(sampled.Failed, 0)
@@ -78,6 +124,21 @@
 	}
 }
 
+// versionOutcome returns what the result of an attempt says about the version of its upstream.
+func versionOutcome(r entry.Result) (rollout.Outcome, time.Duration) {
+	switch {
+	case r.Ending == entry.EndLost, r.Ending == entry.EndAnswered && r.Status >= http.StatusInternalServerError:
+		return rollout.Failed, r.Total
+	case r.Ending == entry.EndAnswered:
+		return rollout.Succeeded, r.FirstByte
+	case r.Ending == entry.EndTimedOut:
+		return rollout.TimedOut, r.Total
+	case r.Ending == entry.EndCancelled && r.FirstByte == 0:
+		return rollout.Overtaken, r.Total
+	}
+	return rollout.NoEvidence, 0
+}
+
 const (
 	// retryBudgetShare is the part of the platform's retry ratio that is used. The rest allows for requests that
 	// the platform counts in another time window than this instance.
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -66,6 +66,15 @@
 	Start  time.Time // of the whole request
 	Tried  []string  // IDs of the upstreams of earlier attempts
 	Urgent bool      // do not wait for a better upstream
+	Part   string    // of the pool, if Pool has only some of its upstreams; pressure and probes are counted by part
+}
+
+// part names the upstreams among which the request is placed.
+func (r *Request) part() string {
+	if r.Part == "" {
+		return r.Pool.Name
+	}
+	return r.Pool.Name + " " + r.Part
 }
 
 // Policy chooses upstreams for the requests of one instance. It is safe for concurrent use.
@@ -113,7 +122,7 @@
 	if !ok {
 		deadline = r.Start.Add(r.Route.Deadline.Std())
 	}
-	recent := p.poolPressure(r.Pool.Name)
+	recent := p.poolPressure(r.part())
 	ch := &chooser{target: r.Route.Target.Std(), deadline: deadline, start: r.Start, pressure: recent.level(), pool: recent}
 	rounds := 0
 	for first := true; ; first = false {
@@ -187,7 +196,7 @@
 func (p *Policy) probeCandidates(ctx context.Context, ch *chooser, r Request, list []*candidate, rounds *int) (verdict, *candidate) {
 	for from := 0; ; {
 		to := min(from+sampleSize, len(list))
-		allowed := from + p.probes.take(r.Pool.Name, len(r.Pool.Upstreams), to-from, time.Now())
+		allowed := from + p.probes.take(r.part(), len(r.Pool.Upstreams), to-from, time.Now())
 		if allowed > from {
 			*rounds++
 			if c := p.probeGroup(ctx, ch, r, list[from:allowed]); c != nil {
@@ -382,7 +391,7 @@
 		p.coldAt[id] = time.Now()
 	}
 	p.pending[id]++
-	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: r.Route.Name, pool: r.Pool.Name, blind: !c.hasReading(), at: time.Now(), warmTime: time.Duration(maxWarmTimeShare * float64(r.Route.Target))}
+	return &Choice{policy: p, Upstream: c.upstream, Reading: c.reading, route: r.Route.Name, pool: r.part(), blind: !c.hasReading(), at: time.Now(), warmTime: time.Duration(maxWarmTimeShare * float64(r.Route.Target))}
 }
 
 // Outcome is how an attempt ended, as far as it concerns the upstream.
