gateway, rollout: tests of many instances in virtual time, and three corrections that they led to

The world has a store with faults, noisy and cold upstreams, 24 instances in three regions with the real placement, and callers with second copies. Versions are good, or bad at once, late, under load, on one route or slow; the judge is killed, frozen or cut off, the store is silent, late or loses answers, a region is cut off, everything restarts, orders follow each other, a version never comes up.

Before: slow answers of one route were found after the last stage had begun (671 of 327 allowed requests); the death of the judge at 3 s delayed a good version beyond its deadline, and a judge without the store kept the evidence to itself, so that no verdict was written. Slow answers now count from 1.25 times the target, the stage quarter is longer, a version may be suspicious there for 2 s only, and a reader to which most instances report judges fully.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -45,6 +45,9 @@
 	// judgeSilence is the time without an answer of any judge after which the instance sends nothing to the target version
 	// before the last stage. A bad version must get nothing 5 s after its fiftieth bad answer, also if the judge has died.
 	judgeSilence = 2 * time.Second
+	// judgeStoreAge is the age of a judge's knowledge of the store above which others get the evidence, too. It is 1.4 s at
+	// most while the store answers.
+	judgeStoreAge = 2 * time.Second
 	// storeContactAge is the age of the knowledge of the store above which the instance has lost contact and keeps its stage.
 	storeContactAge = 4 * time.Second
 	// swapRetry is the time after which a write to the store is repeated that failed or whose effect is not seen.
@@ -188,11 +191,12 @@
 			running = true
 			s.maybeReport(ctx, g, run, r, judges, now)
 		}
+		acts := first || run.judge != nil && 2*run.judge.Heard(now) > s.source.Instances()
 		if !first && (run.judge == nil || now.Sub(run.reportedTo) > judgeSilence || !slices.Contains(judges, s.self)) {
 			run.judge = nil
 			continue
 		}
-		if write := s.decide(run, r, first, now); write != nil {
+		if write := s.decide(run, r, acts, now); write != nil {
 			running = true
 			run.writing = true
 			g.Go(func() error { s.write(ctx, run, write); return nil })
@@ -285,7 +289,7 @@
 	}
 	report := run.tracker.Report(now, r.Record.Stage)
 	report.Condemned = run.condemned
-	if s.transport == nil || len(judges) > 0 && judges[0] == s.self {
+	if s.transport == nil || len(judges) > 0 && judges[0] == s.self && !s.stale(now) {
 		run.condemned = s.hear(run, s.self, report, now) || run.condemned
 		run.answeredAt = now
 		return
@@ -317,7 +321,7 @@
 		var err error
 		if id == s.self {
 			s.mu.Lock()
-			reply.Condemned = s.hear(run, s.self, own, time.Now())
+			reply.Condemned, reply.Stale = s.hear(run, s.self, own, time.Now()), s.stale(time.Now())
 			s.mu.Unlock()
 		} else {
 			callCtx, cancel := context.WithTimeout(peer.WithTraffic(ctx, peer.CallPath), evidenceTimeout)
@@ -338,7 +342,10 @@
 			s.log.Info("version held", "service", run.service, "order", run.order, "judge", id)
 		}
 		s.mu.Unlock()
-		return
+		if !reply.Stale {
+			return
+		}
+		message.Condemned = message.Condemned || reply.Condemned
 	}
 }
 
@@ -368,7 +375,12 @@
 	}
 	run.reportedTo = now
 	run.condemned = s.hear(run, from, decodeReport(&message), now) || run.condemned
-	return &peerpb.RolloutReply{Condemned: run.condemned}, nil
+	return &peerpb.RolloutReply{Condemned: run.condemned, Stale: s.stale(now)}, nil
+}
+
+// stale reports whether this instance may be unable to write a verdict.
+func (s *rolloutService) stale(now time.Time) bool {
+	return now.Sub(s.source.Confirmed()) > judgeStoreAge
 }
 
 // hear records a report at the judge and reports whether the version is bad.
@@ -468,8 +480,9 @@
 	message string
 }
 
-// decide returns what is to be written, or nil. first is set at the judge; other readers may only roll back.
-func (s *rolloutService) decide(run *rolloutRun, r follow.Rollout, first bool, now time.Time) *rolloutWrite {
+// decide returns what is to be written, or nil. acts is set at the judge, and at a reader to which most instances report because
+// the judge does not answer; other readers may only roll back.
+func (s *rolloutService) decide(run *rolloutRun, r follow.Rollout, acts bool, now time.Time) *rolloutWrite {
 	if run.writing || now.Before(run.nextWrite) {
 		return nil
 	}
@@ -477,7 +490,7 @@
 		return nil // the effect of the latest write is not seen yet
 	}
 	wall := now.Round(0).UTC()
-	if first && r.Order != nil && (r.Record == nil || r.Record.Order != r.Order.Revision) {
+	if acts && r.Order != nil && (r.Record == nil || r.Record.Order != r.Order.Revision) {
 		next := rollout.Begin(*r.Order, r.Record, wall)
 		return &rolloutWrite{&next, rollout.Status{Service: run.service, State: next.State, Target: next.Target}, r, "roll-out started"}
 	}
@@ -485,14 +498,14 @@
 		return nil
 	}
 	if r.Record.State != rollout.Running {
-		return s.repairStatus(run, r, first, now)
+		return s.repairStatus(run, r, acts, now)
 	}
 	if run.judge == nil {
 		run.judge = rollout.NewJudge(now)
 	}
 	fleet := s.fleet(run, now)
 	d := run.judge.Decide(wall, r.Record, fleet)
-	if !first && (d.Action != rollout.RollBack || run.judge.Condemned(fleet.Used) == "") {
+	if !acts && (d.Action != rollout.RollBack || run.judge.Condemned(fleet.Used) == "") {
 		return nil
 	}
 	if d.Action == rollout.Wait && d.Reason != run.waitReason {
@@ -502,7 +515,7 @@
 	next, message := *r.Record, ""
 	switch d.Action {
 	case rollout.Wait:
-		return s.repairStatus(run, r, first, now)
+		return s.repairStatus(run, r, acts, now)
 	case rollout.Advance:
 		next, message = next.Advanced(wall), "roll-out advanced"
 	case rollout.Complete:
@@ -516,9 +529,9 @@
 
 // repairStatus returns a write of the status if it has differed from the record for some time, as after another writer or
 // a restored store.
-func (s *rolloutService) repairStatus(run *rolloutRun, r follow.Rollout, first bool, now time.Time) *rolloutWrite {
+func (s *rolloutService) repairStatus(run *rolloutRun, r follow.Rollout, acts bool, now time.Time) *rolloutWrite {
 	status := rollout.Status{Service: run.service, State: r.Record.State, Target: r.Record.Target}
-	if !first || r.Status != nil && *r.Status == status {
+	if !acts || r.Status != nil && *r.Status == status {
 		run.mismatchFrom = time.Time{}
 		return nil
 	}
--- /dev/null
+++ b/internal/gateway/rollout_test.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/turmericsail/turmericsail/internal/follow"
+	"github.com/turmericsail/turmericsail/pkg/peer"
+	"github.com/turmericsail/turmericsail/pkg/rollout"
+)
+
+const orderDuration = 14 * time.Second
+
+// Guards against a good version that is not completed, and a bad one that is not rolled back, before the deadline, or that
+// gets more requests than it may.
+func TestRolloutOfVersions(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  badness
+		want rollout.State
+	}{
+		{"good", badness{}, rollout.Completed},
+		{"bad at once", badness{share: 0.3}, rollout.RolledBack},
+		{"a little bad", badness{share: 0.08}, rollout.RolledBack},
+		{"always bad", badness{share: 1}, rollout.RolledBack},
+		{"late", badness{share: 0.3, after: 5 * time.Second}, rollout.RolledBack},
+		{"under load", badness{share: 0.4, load: 3}, rollout.RolledBack},
+		{"on one route", badness{share: 0.4, route: "r1"}, rollout.RolledBack},
+		{"slow", badness{share: 0.4, slow: true}, rollout.RolledBack},
+		{"slow, late", badness{share: 0.4, slow: true, after: 4 * time.Second}, rollout.RolledBack},
+		{"slow on a route without second copies", badness{share: 0.5, slow: true, route: "r2"}, rollout.RolledBack},
+		{"slow on a route with second copies", badness{share: 0.5, slow: true, route: "r0"}, rollout.RolledBack},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newRolloutWorld(t, 1, 24, 40, 200)
+				time.Sleep(3 * time.Second)
+				w.locked(func() { w.bad["v2"] = c.bad })
+				w.order("v2", orderDuration)
+				w.addUpstreams("v2", 40, 200*time.Millisecond)
+				time.Sleep(orderDuration + 3*time.Second)
+				w.finish(c.want)
+			})
+		})
+	}
+}
+
+// Guards against roll-outs that end without a verdict, with two, or too late when an instance, a link or the store fails
+// halfway. Each case checks the bounds on exposure and rollback.
+func TestRolloutThroughFailures(t *testing.T) {
+	late := badness{share: 0.4, after: 4 * time.Second}
+	atStage := func(w *rolloutWorld, stage rollout.Stage) {
+		for range 300 {
+			var at rollout.Stage
+			w.locked(func() {
+				if r, err := rollout.DecodeRecord(w.values[follow.RolloutKey("p")].Value); err == nil {
+					at = r.Stage
+				}
+			})
+			if at == stage {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	silence := func(w *rolloutWorld, d time.Duration) {
+		w.locked(func() { w.silent = true })
+		time.Sleep(d)
+		w.locked(func() { w.silent = false })
+	}
+	for _, c := range []struct {
+		name    string
+		bad     badness
+		want    rollout.State
+		disturb func(w *rolloutWorld)
+	}{
+		{"judge killed, good", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			time.Sleep(3 * time.Second)
+			w.kill(w.judge())
+		}},
+		{"judge killed before the verdict", late, rollout.RolledBack, func(w *rolloutWorld) {
+			time.Sleep(5 * time.Second)
+			w.kill(w.judge())
+		}},
+		{"judge killed in a later stage", badness{share: 0.4, after: 6 * time.Second}, rollout.RolledBack, func(w *rolloutWorld) {
+			atStage(w, rollout.Quarter)
+			w.kill(w.judge())
+		}},
+		{"judge frozen", late, rollout.RolledBack, func(w *rolloutWorld) {
+			time.Sleep(4 * time.Second)
+			w.net.Pause(w.judge().id)
+		}},
+		{"store silent, good", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			time.Sleep(2 * time.Second)
+			silence(w, 2*time.Second)
+		}},
+		{"store silent before the verdict", late, rollout.RolledBack, func(w *rolloutWorld) {
+			time.Sleep(5 * time.Second)
+			silence(w, 4*time.Second)
+		}},
+		{"answers of writes lost", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			w.locked(func() { w.loseNext = 100 })
+		}},
+		{"writes late", late, rollout.RolledBack, func(w *rolloutWorld) {
+			for range 10 {
+				w.locked(func() { w.lateNext = 2500 * time.Millisecond })
+				time.Sleep(time.Second)
+			}
+		}},
+		{"judge cut off from the store", late, rollout.RolledBack, func(w *rolloutWorld) {
+			time.Sleep(4 * time.Second)
+			n := w.judge()
+			w.locked(func() { n.cutOff = true })
+			time.Sleep(leaseLength)
+			w.locked(func() { delete(w.granters, n.region) })
+		}},
+		{"region cut off, good", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			time.Sleep(3 * time.Second)
+			w.net.SetPartition(func(a, b peer.InstanceID) bool { return (a[0] == 'c') != (b[0] == 'c') })
+			time.Sleep(2 * time.Second)
+			w.net.Heal()
+		}},
+		{"region cut off, bad", late, rollout.RolledBack, func(w *rolloutWorld) {
+			time.Sleep(3 * time.Second)
+			w.net.SetPartition(func(a, b peer.InstanceID) bool { return (a[0] == 'a') != (b[0] == 'a') })
+		}},
+		{"restart of everything", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			time.Sleep(3 * time.Second)
+			w.restartAll()
+		}},
+		{"restart of everything, bad", late, rollout.RolledBack, func(w *rolloutWorld) {
+			time.Sleep(3 * time.Second)
+			w.restartAll()
+		}},
+		{"upstreams of the target are killed", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			time.Sleep(5 * time.Second)
+			w.locked(func() {
+				delete(w.upstreams, "v2-3")
+				delete(w.upstreams, "v2-5")
+				w.rebuild()
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newRolloutWorld(t, 2, 24, 40, 200)
+				time.Sleep(3 * time.Second)
+				w.locked(func() { w.bad["v2"] = c.bad })
+				w.order("v2", orderDuration)
+				w.addUpstreams("v2", 40, 200*time.Millisecond)
+				begin := time.Now()
+				c.disturb(w)
+				time.Sleep(orderDuration + 3*time.Second - time.Since(begin))
+				w.finish(c.want)
+			})
+		})
+	}
+}
+
+// Guards against an order whose version never comes up and that has no verdict.
+func TestRolloutOfAMissingVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRolloutWorld(t, 3, 24, 40, 200)
+		time.Sleep(3 * time.Second)
+		w.order("v2", orderDuration)
+		time.Sleep(orderDuration + 2*time.Second)
+		w.finish(rollout.RolledBack)
+	})
+}
+
+// Guards against a second order that is not followed, or during which the version of the first one still gets requests.
+func TestSecondOrderDuringTheFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRolloutWorld(t, 4, 24, 40, 200)
+		time.Sleep(3 * time.Second)
+		w.order("v2", orderDuration)
+		w.addUpstreams("v2", 40, 200*time.Millisecond)
+		time.Sleep(7 * time.Second)
+		w.order("v3", orderDuration)
+		w.addUpstreams("v3", 40, 200*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		w.locked(func() {
+			if n := w.inFlight["v2"]; n > 0 {
+				t.Errorf("%d requests at the version of the first order", n)
+			}
+		})
+		time.Sleep(orderDuration)
+		w.finish(rollout.Completed)
+	})
+}
+
+// Guards against a version that is ordered again after its rollback and stays refused, and against requests to it before.
+func TestSameVersionOrderedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRolloutWorld(t, 5, 24, 40, 200)
+		time.Sleep(3 * time.Second)
+		w.order("v2", orderDuration)
+		time.Sleep(orderDuration)
+		w.addUpstreams("v2", 40, 0)
+		time.Sleep(5 * time.Second)
+		w.locked(func() {
+			if !w.lastToTarget.IsZero() || len(w.verdicts) != 1 || w.verdicts[0].State != rollout.RolledBack {
+				t.Errorf("verdicts %v, last request to the target %v", w.verdicts, w.lastToTarget)
+			}
+			w.verdicts = nil
+		})
+		w.order("v2", orderDuration)
+		time.Sleep(orderDuration + time.Second)
+		w.finish(rollout.Completed)
+	})
+}
+
+// Guards against calls and messages of instances without a roll-out.
+func TestNothingIsSentWithoutARollout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRolloutWorld(t, 6, 6, 10, 50)
+		time.Sleep(10 * time.Second)
+		for _, n := range w.nodes {
+			if sent := n.node.Meter().Sent(peer.CallPath); len(n.service.services) > 0 || sent != (peer.Count{}) {
+				t.Errorf("an instance has state of a roll-out, or sent %v", sent)
+			}
+		}
+		close(w.done)
+		for _, n := range w.nodes {
+			n.stop()
+		}
+		time.Sleep(time.Minute)
+		if w.calls != 0 {
+			t.Errorf("%d calls of the store", w.calls)
+		}
+	})
+}
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -92,13 +92,13 @@
 // compare returns the worst finding of all routes and of their sum. used is the number of upstreams that the
 // target version has in use.
 func (e *Evidence) compare(used int) (worst finding, reason string) {
-	failed := worstOf(e.Upstreams, used, func(c Counts) int { return c.Failures })
-	slow := worstOf(e.Upstreams, used, func(c Counts) int { return c.Slow })
+	failed := worstOf(e.Upstreams, used, func(c Counts) (int, int) { return c.Failures, c.Answers })
+	slow := worstOf(e.Upstreams, used, func(c Counts) (int, int) { return c.Slow, c.Timed })
 	look := func(what string, p Pair) {
-		if f := judge(p.Target.Failures, p.Target.Answers, p.Old.Failures, p.Old.Answers, failed, minFailureExcess); f > worst {
+		if f := judge(sample{p.Target.Failures, p.Target.Answers}, sample{p.Old.Failures, p.Old.Answers}, failed, minFailureExcess); f > worst {
 			worst, reason = f, what+": failures"
 		}
-		if f := judge(p.Target.Slow, p.Target.Timed, p.Old.Slow, p.Old.Timed, slow, minSlowExcess); f > worst {
+		if f := judge(sample{p.Target.Slow, p.Target.Timed}, sample{p.Old.Slow, p.Old.Timed}, slow, minSlowExcess); f > worst {
 			worst, reason = f, what+": slow answers"
 		}
 	}
@@ -109,30 +109,36 @@
 	return worst, reason
 }
 
-// worstOf returns the number of bad answers of the worst upstreams, whose cause may not be the version.
-func worstOf(upstreams map[string]Counts, used int, bad func(Counts) int) (sum int) {
-	list := make([]int, 0, len(upstreams))
+// sample is a number of answers of which some are bad.
+type sample struct{ bad, all int }
+
+// worstOf returns the answers of the upstreams with the most bad ones, whose cause may not be the version.
+func worstOf(upstreams map[string]Counts, used int, of func(Counts) (bad, all int)) (sum sample) {
+	list := make([]sample, 0, len(upstreams))
 	for _, c := range upstreams {
-		list = append(list, bad(c))
+		bad, all := of(c)
+		list = append(list, sample{bad, all})
 	}
-	slices.SortFunc(list, func(a, b int) int { return cmp.Compare(b, a) })
+	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(b.bad, a.bad) })
 	n := max(int(math.Ceil(worstShare*float64(used))), 1)
 	for _, k := range list[:min(n, len(list))] {
-		sum += k
+		sum.bad += k.bad
+		sum.all += k.all
 	}
 	return sum
 }
 
-// judge compares k1 bad answers of n1 of the target version with k0 of n0 of the old one. elsewhere is the number of bad ones
-// that may have another cause.
-func judge(k1, n1, k0, n0, elsewhere int, minExcess float64) finding {
-	if k1 < 2 || float64(k1)/float64(n1) < float64(k0)/float64(max(n0, 1))+minExcess {
+// judge compares the answers of the target version with those of the old one. worst are those that may have another cause;
+// they are of all routes, so that some of them may not be among the answers of the target.
+func judge(target, old, worst sample, minExcess float64) finding {
+	if target.bad < 2 || float64(target.bad)/float64(target.all) < float64(old.bad)/float64(max(old.all, 1))+minExcess {
 		return inconspicuous
 	}
-	p := fisher(k1, n1, k0, n0)
-	rest := k1 - elsewhere
+	p := fisher(target.bad, target.all, old.bad, old.all)
+	rest := sample{target.bad - worst.bad, target.all - worst.all}
+	rest.all = max(rest.all, rest.bad, target.all/4)
 	switch {
-	case p < condemnBelow && rest > 0 && fisher(rest, n1, k0, n0) < remainBelow:
+	case p < condemnBelow && rest.bad > 0 && fisher(rest.bad, rest.all, old.bad, old.all) < remainBelow:
 		return condemned
 	case p < suspectBelow:
 		return suspicious
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -8,8 +8,11 @@
 	// drainMargin is how much longer than the longest request of the pool the wait after the last stage is: instances learn of
 	// the stage within half a second.
 	drainMargin = 400 * time.Millisecond
-	// stageTime is the planned time of the stages quarter and half: learning of the stage, some answers, and a report.
-	stageTime = 1200 * time.Millisecond
+	// quarterTime is the planned time of the stage quarter, in which slow answers of a route with few requests show: learning of
+	// the stage, 1.25 s until an answer is slow at a target of 1 s, and a report.
+	quarterTime = 1900 * time.Millisecond
+	// halfTime is the planned time of the stage half. With an order of 14 s the three stages use 9.6 % of all requests.
+	halfTime = 1100 * time.Millisecond
 	// minStageTime is their shortest time, if the plan is late.
 	minStageTime = time.Second
 	// minCanaryTime is the shortest time with answers of the target: upstreams are cold for 3 s.
@@ -18,6 +21,9 @@
 	maxCanaryTime = 20 * time.Second
 	// giveUpTime is the time before the deadline at which a roll-out without a verdict is rolled back, long enough for a write.
 	giveUpTime = 800 * time.Millisecond
+	// suspicionTime is how long a version may be suspicious in the stages after canary: waiting there uses up the share of the
+	// requests that a bad version may get.
+	suspicionTime = 2 * time.Second
 	// silentTime is how long an instance is silent that is taken for dead or cut off.
 	silentTime = 2 * time.Second
 	// learnTime is how long a judge that has just begun collects reports before it decides.
@@ -80,6 +86,7 @@
 	condemned string    // the reason
 	answered  time.Time // of the first answers of the target version
 	atStage   map[Stage]Pair
+	suspected time.Time // since when the version is suspicious
 }
 
 type heard struct {
@@ -157,16 +164,33 @@
 // Instances returns the number of instances that have reported.
 func (j *Judge) Instances() int { return len(j.instances) }
 
+// Heard returns the number of instances that have reported lately.
+func (j *Judge) Heard(now time.Time) (n int) {
+	for _, h := range j.instances {
+		if now.Sub(h.at) < silentTime {
+			n++
+		}
+	}
+	return n
+}
+
 // Total returns the counts of both versions.
 func (j *Judge) Total() Pair { return j.all.total() }
 
 // Decide decides about a running roll-out.
 func (j *Judge) Decide(now time.Time, r *Record, f Fleet) Decision {
 	finding := j.look(f.Used)
+	if finding == inconspicuous || r.Stage == Canary {
+		j.suspected = time.Time{}
+	} else if j.suspected.IsZero() {
+		j.suspected = now
+	}
 	end := r.Deadline().Add(-giveUpTime)
 	switch {
 	case j.condemned != "":
 		return Decision{RollBack, j.condemned}
+	case !j.suspected.IsZero() && now.Sub(j.suspected) >= suspicionTime:
+		return Decision{RollBack, "the answers of the version stay suspicious"}
 	case now.Sub(j.began) < learnTime && now.Before(end):
 		return Decision{Wait, "collecting reports"}
 	case r.Stage == All && j.drained(now, r, f):
@@ -187,14 +211,14 @@
 // plan returns when the stage after s begins, as the time since the start.
 func plan(s Stage, duration, limit time.Duration) time.Duration {
 	all := duration - reserve - limit - drainMargin
-	quarter := min(max(all-2*stageTime, minCanaryTime), maxCanaryTime)
+	quarter := min(max(all-quarterTime-halfTime, minCanaryTime), maxCanaryTime)
 	switch s {
 	case Canary:
 		return quarter
 	case Quarter:
-		return quarter + stageTime
+		return quarter + quarterTime
 	}
-	return quarter + 2*stageTime
+	return quarter + quarterTime + halfTime
 }
 
 // lacks returns what is missing for the next stage, or an empty string.
--- a/pkg/rollout/tracker.go
+++ b/pkg/rollout/tracker.go
@@ -8,13 +8,16 @@
 )
 
 const (
-	// slowShare is the multiple of a route's target above which an answer is slow. The usual time is 0.38 of the target, four
-	// times that with a noisy neighbour, and eight times with a slow version.
-	slowShare = 2.0
+	// slowShare is the multiple of a route's target above which an answer is slow. The usual time is 0.38 of the target, and
+	// eight times that with a slow version.
+	slowShare = 1.25
+	// noisySlowShare replaces slowShare for upstreams that report themselves slowed down: a noisy neighbour makes them four
+	// times slower.
+	noisySlowShare = 2.0
 	// overtakenShare is the multiple of the target after which an attempt that was given up is slow. Second copies are sent
 	// at 0.55 of the target and answered at about 0.93.
 	overtakenShare = 0.8
-	// noisySlowdown is the slowdown that an upstream reports above which giving up on it says nothing about its version.
+	// noisySlowdown is the reported slowdown from which an upstream has a noisy neighbour.
 	noisySlowdown = 2.0
 	// maxRoutes bounds the routes that are counted one by one; the rest is counted together.
 	maxRoutes = 64
@@ -122,14 +125,18 @@
 
 // slow reports whether the attempt was slow, and whether its time says something about the version.
 func (a *Attempt) slow(o Outcome, wait time.Duration) (slow, informative bool) {
-	overtaken := float64(wait) >= overtakenShare*float64(a.target)
+	limit := slowShare
+	if a.slowdown >= noisySlowdown {
+		limit = noisySlowShare
+	}
+	share := float64(wait) / float64(a.target)
 	switch {
 	case a.cold || o == Failed:
 		return false, false
-	case o == Overtaken, o == TimedOut && float64(wait) < slowShare*float64(a.target):
-		return true, overtaken && a.slowdown < noisySlowdown
+	case (o == Overtaken || o == TimedOut) && share <= limit:
+		return true, share >= overtakenShare && a.slowdown < noisySlowdown
 	}
-	return float64(wait) > slowShare*float64(a.target), true
+	return share > limit, true
 }
 
 func (t *Tracker) count(a *Attempt, c Counts) {
