rollout: sizes of deployments in the tests, and all canaries in the evidence

Upstreams of the target were counted from their first bad answer at an instance, which understated the answers that remain without the worst ones. The number of canaries is rounded up, so that the evidence of a pool of 40 does not rest on two upstreams.

--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"flag"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,8 @@
 
 const orderDuration = 14 * time.Second
 
+var rolloutSeeds = flag.Int("rollout-seeds", 1, "number of random worlds in which each roll-out is played")
+
 // Guards against a good version that is not completed, and a bad one that is not rolled back, before the deadline, or that
 // gets more requests than it may.
 func TestRolloutOfVersions(t *testing.T) {
@@ -33,19 +37,48 @@
 		{"slow on a route with second copies", badness{share: 0.5, slow: true, route: "r0"}, rollout.RolledBack},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newRolloutWorld(t, 1, 24, 40, 200)
-				time.Sleep(3 * time.Second)
-				w.locked(func() { w.bad["v2"] = c.bad })
-				w.order("v2", orderDuration)
-				w.addUpstreams("v2", 40, 200*time.Millisecond)
-				time.Sleep(orderDuration + 3*time.Second)
-				w.finish(c.want)
-			})
+			for seed := range *rolloutSeeds {
+				synctest.Test(t, func(t *testing.T) { playRollout(t, seed+1, 24, 40, 200, c.bad, c.want) })
+			}
 		})
 	}
 }
 
+func playRollout(t *testing.T, seed, instances, upstreams int, rate float64, bad badness, want rollout.State) {
+	w := newRolloutWorld(t, uint64(seed), instances, upstreams, rate)
+	time.Sleep(3 * time.Second)
+	w.locked(func() { w.bad["v2"] = bad })
+	w.order("v2", orderDuration)
+	w.addUpstreams("v2", upstreams, 200*time.Millisecond)
+	time.Sleep(orderDuration + 3*time.Second)
+	w.finish(want)
+}
+
+// Guards against roll-outs that only work with one size of the deployment: small pools give little evidence, and in large ones
+// the share that a bad version may get is used up quickly.
+func TestRolloutOfSizes(t *testing.T) {
+	for _, c := range []struct {
+		instances, upstreams int
+		rate                 float64
+	}{{2, 18, 48.4}, {104, 26, 45.1}, {104, 213, 451}} {
+		for _, v := range []struct {
+			name string
+			bad  badness
+			want rollout.State
+		}{
+			{"good", badness{}, rollout.Completed},
+			{"bad", badness{share: 0.3}, rollout.RolledBack},
+			{"late", badness{share: 0.3, after: 5 * time.Second}, rollout.RolledBack},
+		} {
+			t.Run(fmt.Sprint(c.instances, c.upstreams, v.name), func(t *testing.T) {
+				for seed := range *rolloutSeeds {
+					synctest.Test(t, func(t *testing.T) { playRollout(t, seed+1, c.instances, c.upstreams, c.rate, v.bad, v.want) })
+				}
+			})
+		}
+	}
+}
+
 // Guards against roll-outs that end without a verdict, with two, or too late when an instance, a link or the store fails
 // halfway. Each case checks the bounds on exposure and rollback.
 func TestRolloutThroughFailures(t *testing.T) {
--- a/internal/gateway/rollout_world_test.go
+++ b/internal/gateway/rollout_world_test.go
@@ -84,6 +84,7 @@
 	oldAfterVerdict     int
 	refused, served     int
 	maxOld              int
+	instances           int
 	done                chan struct{}
 	calls               int // of the store
 }
@@ -131,7 +132,7 @@
 	return id, ok
 }
 
-func (n *rolloutNode) Instances() int { return 24 }
+func (n *rolloutNode) Instances() int { return n.w.instances + n.w.instances/8 }
 
 func (n *rolloutNode) Confirmed() time.Time {
 	n.w.mu.Lock()
@@ -278,7 +279,7 @@
 	w := &rolloutWorld{
 		t: t, random: rand.New(rand.NewPCG(seed, 4)), net: peertest.New(seed), values: map[string]store.Entry{}, granters: map[string]peer.InstanceID{},
 		freeAt: map[string]time.Time{}, upstreams: map[string]*rolloutUpstream{}, bad: map[string]badness{}, rate: rate, began: time.Now(),
-		inFlight: map[string]int{}, done: make(chan struct{}),
+		inFlight: map[string]int{}, instances: instances, done: make(chan struct{}),
 		log: funcr.New(func(_, args string) { t.Log(time.Now().Format("05.000"), args) }, funcr.Options{}),
 	}
 	w.net.SetLatency(func(a, b peer.InstanceID) time.Duration {
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -36,7 +36,7 @@
 type Evidence struct {
 	// Routes holds the counts by route.
 	Routes map[string]Pair
-	// Upstreams holds the counts of those upstreams of the target version that gave bad answers.
+	// Upstreams holds the counts of upstreams of the target version, at least of those with the most bad answers.
 	Upstreams map[string]Counts
 }
 
--- a/pkg/rollout/split.go
+++ b/pkg/rollout/split.go
@@ -127,7 +127,7 @@
 		seen[list[i].Region]++
 	}
 	slices.SortStableFunc(list, func(a, b ranked) int { return cmp.Compare(a.round, b.round) })
-	n := max(int(math.Round(canaryShare*float64(old))), minCanaries)
+	n := max(int(math.Ceil(canaryShare*float64(old))), minCanaries)
 	var chosen []table.Upstream
 	for _, u := range list[:min(n, len(list))] {
 		chosen = append(chosen, u.Upstream)
--- a/pkg/rollout/tracker.go
+++ b/pkg/rollout/tracker.go
@@ -152,9 +152,7 @@
 	}
 	p.Target = p.Target.plus(c)
 	t.routes[route] = p
-	if c.Bad() > 0 || t.upstreams[a.upstream].Answers > 0 {
-		t.upstreams[a.upstream] = t.upstreams[a.upstream].plus(c)
-	}
+	t.upstreams[a.upstream] = t.upstreams[a.upstream].plus(c)
 }
 
 // Report returns what was counted. Attempts that run for so long that their answers will be slow are counted as such, so that
@@ -168,15 +166,11 @@
 			t.count(a, Counts{Timed: 1, Slow: 1})
 		}
 	}
-	e := Evidence{Routes: maps.Clone(t.routes), Upstreams: t.upstreams}
-	if len(e.Upstreams) > maxReported {
-		ids := slices.Collect(maps.Keys(e.Upstreams))
-		slices.SortFunc(ids, func(a, b string) int { return t.upstreams[b].Bad() - t.upstreams[a].Bad() })
-		e.Upstreams = map[string]Counts{}
-		for _, id := range ids[:maxReported] {
-			e.Upstreams[id] = t.upstreams[id]
-		}
+	e := Evidence{Routes: maps.Clone(t.routes), Upstreams: map[string]Counts{}}
+	ids := slices.Collect(maps.Keys(t.upstreams))
+	slices.SortFunc(ids, func(a, b string) int { return t.upstreams[b].Bad() - t.upstreams[a].Bad() })
+	for _, id := range ids[:min(len(ids), maxReported)] {
+		e.Upstreams[id] = t.upstreams[id]
 	}
-	e.Upstreams = maps.Clone(e.Upstreams)
 	return Report{Stage: stage, Drained: t.old == 0, Evidence: e}
 }
