--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -38,6 +38,9 @@
 	// rises with their number beyond.
 	evidenceInterval  = 500 * time.Millisecond
 	evidenceInstances = 200
+	// lateInterval replaces evidenceInterval after the canary stage, where a fault uses up the share of a bad version within a
+	// second or two.
+	lateInterval = 250 * time.Millisecond
 	// evidenceTimeout bounds a report: a few round trips between regions, and some wait at a loaded judge.
 	evidenceTimeout = 400 * time.Millisecond
 	// judgeCooldown is how long a judge is not called that did not answer.
@@ -282,11 +285,12 @@
 	if run.reporting || now.Before(run.nextReport) {
 		return
 	}
-	interval := evidenceInterval * time.Duration(max(s.source.Instances(), evidenceInstances)) / evidenceInstances
-	run.nextReport = now.Add(interval)
-	if run.nextReport.Sub(now) == interval && run.reportedTo.IsZero() && run.judge == nil {
-		run.nextReport = now.Add(interval*3/4 + rand.N(interval/2)) // reports of all instances are spread
+	interval := evidenceInterval
+	if r.Record.Stage != rollout.Canary {
+		interval = lateInterval
 	}
+	interval = interval * time.Duration(max(s.source.Instances(), evidenceInstances)) / evidenceInstances
+	run.nextReport = now.Add(interval*3/4 + rand.N(interval/2)) // the reports of all instances are spread
 	report := run.tracker.Report(now, r.Record.Stage)
 	report.Condemned = run.condemned
 	if s.transport == nil || len(judges) > 0 && judges[0] == s.self && !s.stale(now) {
@@ -492,7 +496,7 @@
 	wall := now.Round(0).UTC()
 	if acts && r.Order != nil && (r.Record == nil || r.Record.Order != r.Order.Revision) {
 		next := rollout.Begin(*r.Order, r.Record, wall)
-		return &rolloutWrite{&next, rollout.Status{Service: run.service, State: next.State, Target: next.Target}, r, "roll-out started"}
+		return &rolloutWrite{&next, rollout.Status{Service: run.service, State: next.State, Target: next.Target}, r, "started"}
 	}
 	if r.Record == nil || r.Record.Order != run.order {
 		return nil
@@ -517,11 +521,11 @@
 	case rollout.Wait:
 		return s.repairStatus(run, r, acts, now)
 	case rollout.Advance:
-		next, message = next.Advanced(wall), "roll-out advanced"
+		next, message = next.Advanced(wall), "advanced"
 	case rollout.Complete:
-		next, message = next.Ended(rollout.Completed, "", wall), "roll-out completed"
+		next, message = next.Ended(rollout.Completed, "", wall), "completed"
 	case rollout.RollBack:
-		next, message = next.Ended(rollout.RolledBack, d.Reason, wall), "roll-out rolled back"
+		next, message = next.Ended(rollout.RolledBack, d.Reason, wall), "rolled back"
 		run.condemned = true
 	}
 	return &rolloutWrite{&next, rollout.Status{Service: run.service, State: next.State, Target: next.Target}, r, message}
@@ -542,7 +546,7 @@
 		return nil
 	}
 	run.mismatchFrom = now
-	return &rolloutWrite{nil, status, r, "roll-out status written again"}
+	return &rolloutWrite{nil, status, r, "status"}
 }
 
 // write carries out a write. The revisions of both keys make it safe to repeat one whose answer was lost.
@@ -558,14 +562,14 @@
 	}
 	run.written, run.wrote, run.nextWrite = w.record != nil, w.before.RecordRevision, now
 	if w.record == nil {
-		s.log.Info(w.message, "service", run.service, "state", w.status.State, "target", w.status.Target)
+		s.log.Info("roll-out status written again", "service", run.service, "state", w.status.State, "target", w.status.Target)
 		return
 	}
 	counts, instances := rollout.Pair{}, 0
 	if run.judge != nil {
 		counts, instances = run.judge.Total(), run.judge.Instances()
 	}
-	s.log.Info(w.message, "service", run.service, "target", w.record.Target, "stage", w.record.Stage, "state", w.record.State, "reason", w.record.Reason,
+	s.log.Info("roll-out written", "service", run.service, "what", w.message, "target", w.record.Target, "stage", w.record.Stage, "state", w.record.State, "reason", w.record.Reason,
 		"elapsed", now.Sub(w.record.Started).Round(time.Millisecond).String(), "duration", w.record.Duration.String(), "instances", instances,
 		"target_answers", counts.Target.Answers, "target_failures", counts.Target.Failures, "target_slow", counts.Target.Slow,
 		"old_answers", counts.Old.Answers, "old_failures", counts.Old.Failures, "old_slow", counts.Old.Slow)
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -78,6 +78,9 @@
 	// worstShare is the share of the upstreams whose bad answers may have another cause than the version: a quarter has a
 	// noisy neighbour at any time, and some are killed.
 	worstShare = 0.25
+	// maxWorst bounds them: among many upstreams, the old version's answers show the noise, and faults that are rare at each
+	// upstream must not be left out altogether.
+	maxWorst = 6
 )
 
 // finding is the result of a comparison.
@@ -120,7 +123,7 @@
 		list = append(list, sample{bad, all})
 	}
 	slices.SortFunc(list, func(a, b sample) int { return cmp.Compare(b.bad, a.bad) })
-	n := max(int(math.Ceil(worstShare*float64(used))), 1)
+	n := min(max(int(math.Ceil(worstShare*float64(used))), 1), maxWorst)
 	for _, k := range list[:min(n, len(list))] {
 		sum.bad += k.bad
 		sum.all += k.all
--- /dev/null
+++ b/pkg/rollout/judge_test.go
@@ -0,0 +1,217 @@
+package rollout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const testLimit = 2700 * time.Millisecond
+
+var testFleet = Fleet{Old: 40, Target: 40, Used: 3, Limit: testLimit}
+
+// evidenceOf returns evidence on one route with the given bad answers of the target, spread over so many upstreams.
+func evidenceOf(old, target Counts, upstreams int) Evidence {
+	e := newEvidence()
+	e.Routes["r"] = Pair{old, target}
+	for i := range upstreams {
+		part := func(n int) int { return n/upstreams + min(1, max(0, n%upstreams-i)) }
+		e.Upstreams[fmt.Sprint(i)] = Counts{part(target.Answers), part(target.Failures), part(target.Timed), part(target.Slow)}
+	}
+	return e
+}
+
+// Guards against a version that is condemned by what is no property of it, and against one that is bad and is not.
+func TestEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		old, target Counts
+		upstreams   int
+		want        finding
+	}{
+		{"no answers", Counts{}, Counts{}, 3, inconspicuous},
+		{"no failures", Counts{1000, 0, 1000, 0}, Counts{60, 0, 60, 0}, 3, inconspicuous},
+		{"one failure", Counts{1000, 0, 1000, 0}, Counts{60, 1, 60, 0}, 3, inconspicuous},
+		{"failures of both", Counts{1000, 300, 1000, 0}, Counts{60, 20, 60, 0}, 3, inconspicuous},
+		{"failures", Counts{1000, 0, 1000, 0}, Counts{30, 10, 30, 0}, 3, condemned},
+		{"failures of one upstream", Counts{1000, 0, 1000, 0}, Counts{30, 10, 30, 0}, 1, suspicious},
+		{"few failures", Counts{1000, 0, 1000, 0}, Counts{60, 3, 60, 0}, 3, suspicious},
+		{"slow", Counts{1000, 0, 1000, 10}, Counts{60, 0, 60, 20}, 3, condemned},
+		{"slow with noisy neighbours", Counts{1000, 0, 1000, 100}, Counts{60, 0, 60, 7}, 3, inconspicuous},
+		{"slow at one upstream", Counts{1000, 0, 1000, 10}, Counts{60, 0, 60, 20}, 1, suspicious},
+		{"a difference that large numbers make certain", Counts{100000, 100, 1, 0}, Counts{100000, 400, 1, 0}, 40, inconspicuous},
+		{"no answers of the old version", Counts{}, Counts{60, 30, 60, 0}, 3, inconspicuous},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := evidenceOf(c.old, c.target, c.upstreams)
+			found, _ := e.compare(3)
+			is.New(t).Equal(found, c.want)
+		})
+	}
+}
+
+// Guards against a wrong probability: it must be that of drawing without replacement.
+func TestFisher(t *testing.T) {
+	is := is.New(t)
+	near := func(a, b float64) { t.Helper(); is.True(a > 0.999*b && a < 1.001*b) }
+	near(fisher(3, 3, 0, 3), 1.0/20)
+	near(fisher(1, 1, 0, 9), 1.0/10)
+	near(fisher(0, 5, 3, 5), 1)
+	near(fisher(2, 4, 2, 4), 53.0/70)
+}
+
+// Guards against a false-positive rate above the stated one: versions that are equal, with failures of both and much slow
+// noise, looked at 40 times.
+func TestEqualVersionsAreNotCondemned(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 4))
+	const histories = 1500
+	wrong := 0
+	for range histories {
+		now := time.Unix(1000, 0)
+		j := NewJudge(now)
+		total := Evidence{Routes: map[string]Pair{}, Upstreams: map[string]Counts{}}
+		draw := func(n int) (c Counts) {
+			c.Answers, c.Timed = n, n
+			for range n {
+				if random.Float64() < 0.03 {
+					c.Failures++
+				} else if random.Float64() < 0.1 {
+					c.Slow++
+				}
+			}
+			return c
+		}
+		for range 40 {
+			now = now.Add(300 * time.Millisecond)
+			for route := range 3 {
+				name := fmt.Sprint(route)
+				target := draw(2)
+				id := fmt.Sprint(random.IntN(3))
+				total.Upstreams[id] = total.Upstreams[id].plus(target)
+				p := total.Routes[name]
+				total.Routes[name] = Pair{p.Old.plus(draw(20)), p.Target.plus(target)}
+			}
+			next := newEvidence()
+			next.add(total, Evidence{})
+			j.Report("i", Report{Evidence: next}, now)
+		}
+		if j.Condemned(3) != "" {
+			wrong++
+		}
+	}
+	t.Logf("%d of %d condemned", wrong, histories)
+	if wrong > 1+histories/1000 {
+		t.Errorf("%d of %d equal versions condemned", wrong, histories)
+	}
+}
+
+// Guards against stages that begin too early, a verdict while requests may be at old upstreams, and a roll-out that goes on
+// beyond its deadline.
+func TestDecisions(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	good := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 0, 100, 0}, 3)
+	few := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{5, 0, 5, 0}, 3)
+	odd := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 3, 100, 0}, 3)
+	bad := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 30, 100, 0}, 3)
+	cold := testFleet
+	cold.Target = 0
+	alone := testFleet
+	alone.Old = 0
+	for _, c := range []struct {
+		name     string
+		stage    Stage
+		since    float64
+		now      float64
+		evidence Evidence
+		drained  bool
+		fleet    Fleet
+		want     Action
+	}{
+		{"canary", Canary, 0, 4, good, false, testFleet, Wait},
+		{"canary over", Canary, 0, 6, good, false, testFleet, Advance},
+		{"canary with an early report only", Canary, 0, 3.6, good, false, testFleet, Wait},
+		{"canary with few answers", Canary, 0, 6, few, false, testFleet, Wait},
+		{"canary, suspicious", Canary, 0, 6, odd, false, testFleet, Wait},
+		{"canary, bad", Canary, 0, 2, bad, false, testFleet, RollBack},
+		{"cold upstreams", Canary, 0, 6, good, false, cold, Wait},
+		{"quarter", Quarter, 6, 6.5, good, false, testFleet, Wait},
+		{"quarter over", Quarter, 6, 7.9, good, false, testFleet, Advance},
+		{"all", All, 8, 10, good, true, testFleet, Wait},
+		{"all, requests ended", All, 8, 11.2, good, true, testFleet, Complete},
+		{"all, a request runs", All, 8, 11.2, good, false, testFleet, Wait},
+		{"all, bad", All, 8, 11.2, bad, true, testFleet, RollBack},
+		{"too late", Half, 8, 13.3, few, false, testFleet, RollBack},
+		{"never up", Canary, 0, 13.3, few, false, cold, RollBack},
+		{"no old upstreams", Canary, 0, 2, few, false, alone, Advance},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(start)
+			j.Report("i", Report{Stage: Canary, Evidence: evidenceOf(Counts{1, 0, 1, 0}, Counts{1, 0, 1, 0}, 1)}, at(0.5))
+			j.Report("i", Report{Stage: c.stage, Drained: c.drained, Evidence: c.evidence}, at(c.now-0.1))
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			r.Stage, r.Since = c.stage, at(c.since)
+			d := j.Decide(at(c.now), &r, c.fleet)
+			if d.Action != c.want {
+				t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+			}
+		})
+	}
+}
+
+// Guards against evidence that is counted twice or lost when reports are lost, repeated or reordered, or when an instance
+// restarts.
+func TestReportsAreIdempotent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	report := func(n int) Report { return Report{Evidence: evidenceOf(Counts{n, 0, n, 0}, Counts{n, 0, n, 0}, 1)} }
+	j := NewJudge(now)
+	for _, n := range []int{5, 5, 20, 10, 20} {
+		j.Report("a", report(n), now)
+	}
+	j.Report("a/again", report(3), now)
+	is.Equal(j.Total().Target.Answers, 23)
+}
+
+// Guards against evidence that is not counted: attempts that run for long must show before they end, and once only, and those
+// of cold upstreams say nothing about the time.
+func TestTracker(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tr := NewTracker()
+	begin := func(toTarget, cold bool, slowdown float64) *Attempt {
+		a := tr.Begin("r", time.Second, toTarget)
+		a.Placed("u", cold, slowdown, now)
+		return a
+	}
+	counts := func() Pair { return tr.Report(now, Canary).Evidence.Routes["r"] }
+	old := begin(false, false, 1)
+	is.True(!tr.Report(now, Canary).Drained)
+	old.End(Succeeded, 400*time.Millisecond)
+	old.End(Succeeded, 400*time.Millisecond)
+	is.True(tr.Report(now, Canary).Drained)
+	is.Equal(counts().Old, Counts{1, 0, 1, 0})
+	running := begin(true, false, 1)
+	now = now.Add(1300 * time.Millisecond)
+	is.Equal(counts().Target, Counts{0, 0, 1, 1})
+	is.Equal(counts().Target, Counts{0, 0, 1, 1})
+	running.End(Succeeded, 3*time.Second)
+	is.Equal(counts().Target, Counts{1, 0, 1, 1})
+	begin(true, true, 1).End(Succeeded, 3*time.Second) // cold
+	is.Equal(counts().Target, Counts{2, 0, 1, 1})
+	begin(true, false, 1).End(Failed, time.Millisecond)
+	is.Equal(counts().Target, Counts{3, 1, 1, 1})
+	begin(true, false, 1).End(Overtaken, 900*time.Millisecond)
+	is.Equal(counts().Target, Counts{3, 1, 2, 2})
+	begin(true, false, 4).End(Overtaken, 900*time.Millisecond) // a noisy neighbour
+	begin(true, false, 1).End(Overtaken, 100*time.Millisecond) // the caller left
+	begin(true, false, 1).End(NoEvidence, 0)
+	is.Equal(counts().Target, Counts{3, 1, 2, 2})
+	begin(true, false, 4).End(Succeeded, 1500*time.Millisecond)
+	is.Equal(counts().Target, Counts{4, 1, 3, 2})
+	begin(true, false, 1).End(TimedOut, 2500*time.Millisecond)
+	is.Equal(counts().Target, Counts{5, 1, 4, 3})
+}
