--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/turmericsail/turmericsail/internal/discovery"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/membership"
+	"github.com/turmericsail/turmericsail/pkg/rollout"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -28,6 +29,8 @@
 	Refused table.Problems
 	// HomeConflicts lists the pairs of route and workspace without a common home region, whose requests are refused.
 	HomeConflicts table.Problems `json:",omitempty"`
+	// Rollouts holds the latest roll-out of each service that had one.
+	Rollouts map[string]rollout.Record `json:",omitempty"`
 }
 
 // Source provides the tables in force; *configsync.Syncer implements it.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -120,6 +120,7 @@
 	updates       chan update
 	stateEnded    chan struct{} // closed when stateLoop has ended
 	sharedChanged chan struct{}
+	rollouts      atomic.Pointer[map[string]Rollout] // by service; nil while there are none
 
 	// Owned by syncLoop.
 	listed       bool
@@ -163,6 +164,9 @@
 // Ready reports whether tables are known.
 func (f *Follower) Ready() bool { return f.Snapshot().Tables != nil }
 
+// Confirmed returns when the store last confirmed what this instance knows of it.
+func (f *Follower) Confirmed() time.Time { return f.replica.confirmedAt() }
+
 // Address returns the peer address of a reader.
 func (f *Follower) Address(id peer.InstanceID) (string, bool) {
 	if known := f.readers.Load(); known != nil {
@@ -504,6 +508,7 @@
 	sizes := state.fleetSizes()
 	f.fleet.Store(&sizes)
 	f.publishShared(state.sharedValues())
+	f.publishRollouts(state.rollouts())
 	tables, problems := state.tables()
 	if tables == nil {
 		return
@@ -514,7 +519,7 @@
 		conflicts = tables.CheckHomes()
 		f.logConflicts(conflicts)
 	}
-	f.current.Store(&control.Snapshot{Tables: tables, Limits: state.config.Limits, Refused: problems, HomeConflicts: conflicts})
+	f.current.Store(&control.Snapshot{Tables: tables, Limits: state.config.Limits, Refused: problems, HomeConflicts: conflicts, Rollouts: f.rolloutRecords()})
 }
 
 // maxConflictLines bounds the log lines about one configuration, which may have a conflict for each pair of route and
