--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -64,9 +64,10 @@
 }
 
 const (
-	// condemnBelow is the probability of evidence, if the versions were equal, below which a version is condemned. Evidence is
-	// looked at about 1,000 times in a roll-out, so a good version is condemned in 1 of 1,000.
-	condemnBelow = 1e-6
+	// condemnBelow is the probability of evidence, if the versions were equal, below which a version is condemned. A roll-out has
+	// about 100 independent looks (counts of 3 s, two kinds of bad answers, ten routes), so a good version is condemned
+	// in about 1 of 1,000.
+	condemnBelow = 1e-5
 	// remainBelow is the probability below which evidence must stay without the worst quarter of the upstreams.
 	remainBelow = 1e-3
 	// suspectBelow is the probability below which the next stage has to wait.
