--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -211,10 +211,7 @@
 // Guards against faults of workspaces that the check command misses, and against a key in its output.
 func TestCheckConfiguration(t *testing.T) {
 	is := is.New(t)
-	path := writeTestFile(t, `{"version":3,"resources":[
-{"type":"tenants","metadata":{"name":"acme"},"spec":{"api_keys":["key-4711"]}},
-{"type":"tenants","metadata":{"name":"next"},"spec":{"api_keys":["key-4711"]}}]}`)
-	got := runCLI(t, "check", "--configuration", path)
+	got := runCLI(t, "check", "--configuration", "../../platform/testdata/shared-key.json")
 	is.Equal(got.code, ExitInvalid)
 	is.True(strings.Contains(got.out, `$.workspaces["next"].keys: has a key of workspace "acme"`))
 	is.True(!strings.Contains(got.out+got.errors, "4711"))
