entry: test that fingerprints have the workspace of the key

Two workspaces that send equal requests must not be refused for each other's losses, and a header of the caller must not change a fingerprint.

--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -393,3 +393,37 @@
 	is.Equal(h.do("GET", "/", nil, append(bearer("good"), "X-Workspace", "other")...).status, 503)
 	is.Equal(p.seen, []string{"acme 12.5 critical critical [north]"})
 }
+
+// fingerprintRecorder records the fingerprints that quarantine is asked for.
+type fingerprintRecorder struct {
+	noQuarantine
+	mu   sync.Mutex
+	seen []Fingerprint
+}
+
+func (q *fingerprintRecorder) Admit(ctx context.Context, r *table.Route, f Fingerprint) (Admission, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.seen = append(q.seen, f)
+	return q.noQuarantine.Admit(ctx, r, f)
+}
+
+// Guards against a request that is refused because another workspace sent a crashing one that looks the same, and
+// against one that gets another fingerprint with another key of its workspace, or by a header of the caller.
+func TestFingerprintHasTheWorkspaceOfTheKey(t *testing.T) {
+	is := is.New(t)
+	q := &fingerprintRecorder{}
+	route := testRoute()
+	route.WorkspaceHeader = "X-Workspace"
+	h := newHarness(t, route, []string{serveUpstream(t, &recordingUpstream{})}, withPorts(func(p *Ports) { p.Quarantine = q }))
+	other := acme("third")
+	other.Name = "other"
+	h.workspaces = []table.Workspace{acme("first", "second"), other}
+	h.apply()
+	for _, header := range [][]string{bearer("first"), append(bearer("second"), "X-Workspace", "other"), bearer("third")} {
+		is.Equal(h.do("GET", "/", nil, header...).status, 200)
+	}
+	is.Equal(len(q.seen), 3)
+	is.Equal(q.seen[0], q.seen[1])
+	is.True(q.seen[0] != q.seen[2])
+}
