--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -356,16 +356,25 @@
 	}
 }
 
-// Abandon ends the wait of a request. It returns false if the request was decided before.
-func (b *Borrower) Abandon(w *Waiter) bool {
+// Lender returns the instance that is called for the workspaces of a region.
+func (b *Borrower) Lender(region string) (peer.InstanceID, bool) {
+	l := b.links[region]
+	if l == nil {
+		return "", false
+	}
+	return l.lender, l.known
+}
+
+// Abandon ends the wait of a request, which is refused. It returns false if the request was decided before.
+func (b *Borrower) Abandon(now Reading, w *Waiter) (Decision, bool) {
 	a := w.account
 	i := slices.Index(a.waiting, w)
 	if i < 0 {
-		return false
+		return Decision{}, false
 	}
 	a.waiting = slices.Delete(a.waiting, i, i+1)
 	b.stats.Abandoned++
-	return true
+	return Decision{Verdict: Unreached, RetryAfter: b.unreachedWait(a, now)}, true
 }
 
 // never is a time after which nothing is due.
--- a/pkg/rate/sim_test.go
+++ b/pkg/rate/sim_test.go
@@ -401,8 +401,8 @@
 	}
 	n.s.at(n.s.now+maxWait, func() {
 		n.do(func() {
-			if !decided && n.borrower.Abandon(d.Waiter) {
-				settle(Decision{Verdict: Unreached})
+			if late, abandoned := n.borrower.Abandon(n.clock(), d.Waiter); !decided && abandoned {
+				settle(late)
 			}
 		})
 	})
