--- a/pkg/rate/service_test.go
+++ b/pkg/rate/service_test.go
@@ -60,7 +60,9 @@
 	for i := range n {
 		id, region := peer.InstanceID(fmt.Sprintf("e%d/a", i)), regions[i%2]
 		if i < 2 {
+			f.mu.Lock()
 			f.granters[region] = id
+			f.mu.Unlock()
 		}
 		s := NewService(Config{
 			Transport: countingTransport{f.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i)), &f.calls}, Roles: fleetRoles{f, id}, Region: region, Regions: regions,
