entry, gateway, platform: refuse requests over the rate of their workspace

A request of a workspace with a rate asks pkg/rate once its workspace is known and before its body is read. A request that no upstream ran gives its permission back. The bounds quota_window, quota_overage and quota_slack are read from the settings. Without workspaces with a rate the entry does not ask and nothing is sent.

--- a/internal/entry/defaults.go
+++ b/internal/entry/defaults.go
@@ -21,6 +21,8 @@
 	Hedger     Hedger
 	Relay      Relay
 	Observers  []Observer
+	// Rates keeps the request rates of workspaces; nil if there are none.
+	Rates Rates
 	// Intake learns what upstreams state about the requests that they take; nil if nothing keeps it.
 	Intake IntakeObserver
 	// Protocol names the headers; the default is turmericsail's own.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -56,6 +56,7 @@
 	header            http.Header
 	fingerprint       Fingerprint
 	headFingerprint   Fingerprint // of a request whose body is not read before sending, without the body
+	releaseRate       func()      // returns the permission of the workspace's rate; nil if none was needed
 	releaseQuarantine func()      // ends the admission by quarantine
 	avoid             []string    // see Admission
 	suspect           bool        // see Admission
@@ -146,6 +147,10 @@
 	if x.needsRelay {
 		return x.relay()
 	}
+	if refusal := x.admitRate(); refusal != nil {
+		return refusal
+	}
+	defer x.returnRate()
 	if refusal := x.prepareBody(); refusal != nil {
 		return refusal
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	ControlFollow   = "control.follow"
 	EntryIntake     = "entry.intake"
 	EntryQuarantine = "entry.quarantine"
+	EntryRates      = "entry.rates"
 	EntryHTTP       = "entry.http"
 	AdminHTTP       = "admin.http"
 	EntryLeave      = "entry.leave"
@@ -48,6 +49,7 @@
 		{ControlFollow, &followService{cfg: cfg, log: log.WithName(ControlFollow)}},
 		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
 		{EntryQuarantine, &quarantineService{cfg: cfg, log: log.WithName(EntryQuarantine)}},
+		{EntryRates, &ratesService{cfg: cfg, bounds: bounds, log: log.WithName(EntryRates)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
 		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), grace: bounds.Grace, log: log.WithName(EntryLeave)}},
@@ -73,7 +75,12 @@
 	if err := problems.Err(); err != nil {
 		return err
 	}
+	rates, err := kernel.Lookup[*ratesService](k, EntryRates)
+	if err != nil {
+		return err
+	}
 	c.setBounds(bounds)
+	rates.setBounds(bounds)
 	old := c.cfg
 	old.Platform = nil
 	next := cfg
@@ -125,6 +132,10 @@
 	if err != nil {
 		return err
 	}
+	rates, err := kernel.Lookup[*ratesService](k, EntryRates)
+	if err != nil {
+		return err
+	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
 	c.mu.Lock()
 	c.budgets = newRetryBudgets(c.bounds, instances)
@@ -132,7 +143,7 @@
 	c.mu.Unlock()
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
+		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects, Rates: rates,
 	}, c.log)
 	adapter.bind(c.cfg, c.Entry, c.probes, limits, c.log)
 	return nil
--- /dev/null
+++ b/internal/gateway/rates_test.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/rate"
+	"github.com/turmericsail/turmericsail/pkg/table"
+	"github.com/turmericsail/turmericsail/platform"
+)
+
+// Guards against workspaces without a rate that are limited, or counted as a reason to send messages.
+func TestLimitsOfTables(t *testing.T) {
+	is := is.New(t)
+	is.Equal(limitsOf(nil), nil)
+	tables := table.NewTables(1, nil, nil)
+	is.Equal(limitsOf(tables), nil)
+	is.Equal(limitsOf(tables.WithWorkspaces([]table.Workspace{{Name: "free", Burst: 5}, {Name: "limited", RatePerSecond: 3, Burst: 2}})),
+		[]rate.Limit{{Name: "limited", Rate: 3, Burst: 2}})
+}
+
+// Guards against excesses that hold without a window.
+func TestRulesOfBounds(t *testing.T) {
+	is := is.New(t)
+	bounds, problems := platform.ParseBounds([]string{"quota_window=5s", "quota_overage=0.1", "quota_slack=20"})
+	is.NoErr(problems.Err())
+	is.Equal(rulesOf(bounds), rate.Rules{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
+}
--- a/pkg/rate/rules.go
+++ b/pkg/rate/rules.go
@@ -137,5 +137,9 @@
 	return best
 }
 
-// tickInterval is the time between two looks at the configuration, the roles and the number of instances.
-const tickInterval = 100 * time.Millisecond
+const (
+	// tickInterval is the time between two looks at the configuration, the roles and the number of instances.
+	tickInterval = 100 * time.Millisecond
+	// idleInterval is the same while no workspace has a limit.
+	idleInterval = time.Second
+)
--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -230,15 +230,14 @@
 		case <-s.wake:
 		}
 		if now := time.Now(); !now.Before(next) {
-			next = now.Add(tickInterval)
-			s.tick()
+			next = now.Add(s.tick())
 		}
 		timer.Reset(min(s.callDue(ctx), time.Until(next)))
 	}
 }
 
-// tick passes on the configuration and the roles.
-func (s *Service) tick() {
+// tick passes on the configuration and the roles, and returns the time until the next tick.
+func (s *Service) tick() time.Duration {
 	s.mu.Lock()
 	limits := s.tickBorrower()
 	s.mu.Unlock()
@@ -247,6 +246,10 @@
 	for region, l := range s.lent {
 		s.tickLender(region, l, limits)
 	}
+	if len(limits) == 0 {
+		return idleInterval
+	}
+	return tickInterval
 }
 
 func (s *Service) tickBorrower() []Limit {
