--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	EntryIntake     = "entry.intake"
 	EntryQuarantine = "entry.quarantine"
 	EntryRollout    = "entry.rollout"
+	EntryRates      = "entry.rates"
 	EntryHTTP       = "entry.http"
 	AdminHTTP       = "admin.http"
 	EntryLeave      = "entry.leave"
@@ -50,6 +51,7 @@
 		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
 		{EntryQuarantine, &quarantineService{cfg: cfg, log: log.WithName(EntryQuarantine)}},
 		{EntryRollout, &rolloutService{cfg: cfg, log: log.WithName(EntryRollout)}},
+		{EntryRates, &ratesService{cfg: cfg, bounds: bounds, log: log.WithName(EntryRates)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
 		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), grace: bounds.Grace, log: log.WithName(EntryLeave)}},
@@ -75,7 +77,12 @@
 	if err := problems.Err(); err != nil {
 		return err
 	}
+	rates, err := kernel.Lookup[*ratesService](k, EntryRates)
+	if err != nil {
+		return err
+	}
 	c.setBounds(bounds)
+	rates.setBounds(bounds)
 	old := c.cfg
 	old.Platform = nil
 	next := cfg
@@ -131,6 +138,10 @@
 	if err != nil {
 		return err
 	}
+	rates, err := kernel.Lookup[*ratesService](k, EntryRates)
+	if err != nil {
+		return err
+	}
 	instances := instanceCount(followed.Instances, c.cfg.Limits.MaxInstances)
 	c.mu.Lock()
 	c.budgets = newRetryBudgets(c.bounds, instances)
@@ -138,7 +149,7 @@
 	c.mu.Unlock()
 	adapter := &placementAdapter{}
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
+		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects, Rates: rates,
 	}, c.log)
 	adapter.bind(c.cfg, c.Entry, c.probes, limits, rollouts, c.log)
 	return nil
