quarantine: test that late copies of a loss are no news

The storm began with reports that waited and then counted as further losses. The test hands such copies, a report whose caller has given up, and items of an older release without an ID to the handler. go test -race ./pkg/quarantine passes.

--- a/pkg/quarantine/service_test.go
+++ b/pkg/quarantine/service_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericsail/turmericsail/internal/fake"
+	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/peer/peerpb"
 )
@@ -140,6 +141,43 @@
 	}
 }
 
+// Guards against a loss that counts again when a copy of its report arrives later, as after a freeze, against a report that is
+// applied although its caller has given up, and against reports of an older release, which have no ID, being ignored.
+func TestLateCopiesOfALossAreNoNews(t *testing.T) {
+	is := is.New(t)
+	c := Config{Transport: fake.NewNetwork().Transport("a/1"), Settings: fleetSettings(), Forward: true, Log: logr.Discard()}
+	s, err := NewService(c)
+	is.NoErr(err)
+	f := fingerprint(1)
+	report := func(ctx context.Context, from peer.InstanceID, id uint64, age uint32) error {
+		item := &peerpb.QuarantineItem{Fingerprint: f[:], Upstream: 7, Domain: 7, AgeMillis: age, RanMillis: 10, Event: id}
+		data, err := proto.Marshal(&peerpb.QuarantineReport{Items: []*peerpb.QuarantineItem{item}})
+		is.NoErr(err)
+		_, err = s.handle(ctx, from, data)
+		return err
+	}
+	losses := func() int {
+		if r := s.table.records[f]; r != nil {
+			return len(r.losses)
+		}
+		return 0
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.Equal(fault.KindOf(report(ended, "b/1", 5, 0)), fault.Unavailable)
+	is.Equal(losses(), 0)
+	is.NoErr(report(t.Context(), "b/1", 5, 9000))
+	is.NoErr(report(t.Context(), "c/1", 5, 4000)) // a copy that waited for 5 s
+	is.NoErr(report(t.Context(), "b/1", 5, 0))
+	is.Equal(losses(), 1)
+	is.Equal(len(s.outbox.events), 1)
+	is.NoErr(report(t.Context(), "d/1", 0, 3000)) // a later loss, from an older release
+	is.NoErr(report(t.Context(), "d/1", 0, 3000))
+	is.Equal(losses(), 2)
+	is.Equal(len(s.outbox.events), 2)
+	is.True(s.outbox.events[1].id != 0)
+}
+
 // Guards against panics and unbounded memory use on malformed reports from a peer.
 func FuzzQuarantineReport(f *testing.F) {
 	now := time.Now()
