rollout: bound the cost of judging

At 471 instances the judge, which may have a ninth of a core, would have received 800 reports a second after the canary stage and compared the versions at each.

Tests of pkg/rollout and internal/gateway pass.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -34,13 +34,14 @@
 	rolloutTick = 100 * time.Millisecond
 	// rolloutIdleTick is the time between two looks while there is none. It adds to the time until the first stage.
 	rolloutIdleTick = 250 * time.Millisecond
-	// evidenceInterval is the time between two reports of an instance, with up to evidenceInstances instances; it
-	// rises with their number beyond.
-	evidenceInterval  = 500 * time.Millisecond
-	evidenceInstances = 200
+	// evidenceInterval is the time between two reports of an instance.
+	evidenceInterval = 500 * time.Millisecond
 	// lateInterval replaces evidenceInterval after the canary stage, where a fault uses up the share of a bad version within a
 	// second or two.
 	lateInterval = 250 * time.Millisecond
+	// reportsPerSecond bounds the reports of all instances to the judge, which may have a ninth of a core. Above 200 instances, 100
+	// after the canary stage, each of them reports less often.
+	reportsPerSecond = 400
 	// evidenceTimeout bounds a report: a few round trips between regions, and some wait at a loaded judge.
 	evidenceTimeout = 400 * time.Millisecond
 	// judgeCooldown is how long a judge is not called that did not answer.
@@ -289,7 +290,7 @@
 	if r.Record.Stage != rollout.Canary {
 		interval = lateInterval
 	}
-	interval = interval * time.Duration(max(s.source.Instances(), evidenceInstances)) / evidenceInstances
+	interval = max(interval, time.Duration(s.source.Instances())*time.Second/reportsPerSecond)
 	run.nextReport = now.Add(interval*3/4 + rand.N(interval/2)) // the reports of all instances are spread
 	report := run.tracker.Report(now, r.Record.Stage)
 	report.Condemned = run.condemned
@@ -393,7 +394,7 @@
 		run.judge = rollout.NewJudge(now)
 	}
 	run.judge.Report(string(from), report, now)
-	return run.judge.Condemned(s.fleet(run, now).Used) != ""
+	return run.judge.Condemned(s.fleet(run, now).Used, now) != ""
 }
 
 func encodeCounts(c rollout.Counts) *peerpb.RolloutCounts {
@@ -509,7 +510,7 @@
 	}
 	fleet := s.fleet(run, now)
 	d := run.judge.Decide(wall, r.Record, fleet)
-	if !acts && (d.Action != rollout.RollBack || run.judge.Condemned(fleet.Used) == "") {
+	if !acts && (d.Action != rollout.RollBack || run.judge.Condemned(fleet.Used, now) == "") {
 		return nil
 	}
 	if d.Action == rollout.Wait && d.Reason != run.waitReason {
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -44,6 +44,9 @@
 	recentTime = 3 * time.Second
 	// bucketTime is the resolution of the window.
 	bucketTime = 500 * time.Millisecond
+	// lookInterval is the time between two comparisons of the versions. Several hundred reports a second arrive at a judge, which
+	// may have a ninth of a core.
+	lookInterval = 100 * time.Millisecond
 	// minAnswers is the number of answers of the target version without which no stage is justified. A pool with few
 	// requests needs fewer, by minAnswersShare of those of the old version.
 	minAnswers      = 8
@@ -103,6 +106,8 @@
 	answered  time.Time // of the first answers of the target version
 	atStage   map[Stage]Pair
 	suspected time.Time // since when the version is suspicious
+	lookedAt  time.Time // when the versions were compared, with the result found
+	found     finding
 	alone     time.Time // since when no upstream of another version is in service
 }
 
@@ -151,13 +156,17 @@
 }
 
 // Condemned returns why the version is bad, or an empty string. used is the number of its upstreams in use.
-func (j *Judge) Condemned(used int) string {
-	j.look(used)
+func (j *Judge) Condemned(used int, now time.Time) string {
+	j.look(used, now)
 	return j.condemned
 }
 
-// look compares the versions, and returns the worst finding.
-func (j *Judge) look(used int) finding {
+// look compares the versions, if they were not lately, and returns the worst finding.
+func (j *Judge) look(used int, now time.Time) finding {
+	if !j.lookedAt.IsZero() && now.Sub(j.lookedAt) < lookInterval {
+		return j.found
+	}
+	j.lookedAt = now
 	recent := newEvidence()
 	for _, b := range j.buckets {
 		recent.add(b.Evidence, Evidence{})
@@ -175,6 +184,7 @@
 	if worst == condemned && j.condemned == "" {
 		j.condemned = reason
 	}
+	j.found = worst
 	return worst
 }
 
@@ -196,7 +206,7 @@
 
 // Decide decides about a running roll-out.
 func (j *Judge) Decide(now time.Time, r *Record, f Fleet) Decision {
-	finding := j.look(f.Used)
+	finding := j.look(f.Used, now)
 	if finding == inconspicuous || r.Stage == Canary {
 		j.suspected = time.Time{}
 	} else if j.suspected.IsZero() {
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -98,7 +98,7 @@
 			next.add(total, Evidence{})
 			j.Report("i", Report{Evidence: next}, now)
 		}
-		if j.Condemned(3) != "" {
+		if j.Condemned(3, now.Add(time.Second)) != "" {
 			wrong++
 		}
 	}
@@ -220,3 +220,21 @@
 	begin(true, false, 1).End(TimedOut, 2500*time.Millisecond)
 	is.Equal(counts().Target, Counts{5, 1, 4, 3})
 }
+
+// Measures what a report costs the judge, which several hundred instances send reports to.
+func BenchmarkReport(b *testing.B) {
+	now := time.Unix(1000, 0)
+	j := NewJudge(now)
+	for i := range b.N {
+		e := newEvidence()
+		for route := range 10 {
+			e.Routes[fmt.Sprint(route)] = Pair{Counts{i, i / 100, i, i / 50}, Counts{i / 15, i / 1500, i / 15, i / 700}}
+		}
+		for u := range maxReported {
+			e.Upstreams[fmt.Sprint(u)] = Counts{i / 100, 0, i / 100, 0}
+		}
+		now = now.Add(2500 * time.Microsecond)
+		j.Report(fmt.Sprint(i%400), Report{Evidence: e}, now)
+		j.Condemned(13, now)
+	}
+}
