--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -175,17 +175,19 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				w := newRolloutWorld(t, 2, 24, 40, 200)
-				time.Sleep(3 * time.Second)
-				w.locked(func() { w.bad["v2"] = c.bad })
-				w.order("v2", orderDuration)
-				w.addUpstreams("v2", 40, 200*time.Millisecond)
-				begin := time.Now()
-				c.disturb(w)
-				time.Sleep(orderDuration + 3*time.Second - time.Since(begin))
-				w.finish(c.want)
-			})
+			for seed := range *rolloutSeeds {
+				synctest.Test(t, func(t *testing.T) {
+					w := newRolloutWorld(t, uint64(seed)+2, 24, 40, 200)
+					time.Sleep(3 * time.Second)
+					w.locked(func() { w.bad["v2"] = c.bad })
+					w.order("v2", orderDuration)
+					w.addUpstreams("v2", 40, 200*time.Millisecond)
+					begin := time.Now()
+					c.disturb(w)
+					time.Sleep(orderDuration + 3*time.Second - time.Since(begin))
+					w.finish(c.want)
+				})
+			}
 		})
 	}
 }
