gateway: test an instance that no judge answers

It sends nothing to the target version before the last stage while it follows the store, and keeps its stage once it has lost the store, too.

--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -192,6 +192,49 @@
 	}
 }
 
+// Guards against an instance that goes on sending requests to a version that no judge watches, and against one that is cut off
+// from the store, too, and then loses its share of the new version.
+func TestInstanceWithoutAJudge(t *testing.T) {
+	for _, withoutStore := range []bool{false, true} {
+		t.Run(fmt.Sprintf("without the store: %v", withoutStore), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newRolloutWorld(t, 7, 6, 40, 200)
+				time.Sleep(3 * time.Second)
+				w.order("v2", orderDuration)
+				w.addUpstreams("v2", 40, 200*time.Millisecond)
+				time.Sleep(4 * time.Second)
+				alone := w.nodes[5]
+				w.net.SetPartition(func(a, b peer.InstanceID) bool { return a == alone.id || b == alone.id })
+				w.locked(func() { alone.cutOff = withoutStore })
+				cut := time.Now()
+				time.Sleep(orderDuration - 4*time.Second + time.Second)
+				w.locked(func() {
+					if stage := alone.rollouts["p"].Record.Stage; withoutStore == (stage == rollout.All) {
+						t.Errorf("the instance is in stage %s", stage)
+					}
+					held, later := 0, 0
+					for _, at := range alone.toTarget {
+						if after := at.Sub(cut); after > 2500*time.Millisecond && after < 4*time.Second {
+							held++
+						} else if after > 6*time.Second {
+							later++
+						}
+					}
+					t.Logf("%d requests while held, %d later", held, later)
+					if !withoutStore && (held > 0 || later == 0) || withoutStore && later == 0 {
+						t.Errorf("%d requests to the target while held, %d later", held, later)
+					}
+				})
+				close(w.done)
+				for _, n := range w.nodes {
+					n.stop()
+				}
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // Guards against an order whose version never comes up and that has no verdict.
 func TestRolloutOfAMissingVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/rollout_world_test.go
+++ b/internal/gateway/rollout_world_test.go
@@ -110,6 +110,7 @@
 	view      map[string]store.Entry
 	rollouts  map[string]follow.Rollout
 	confirmed time.Time
+	toTarget  []time.Time // requests to the target version
 }
 
 func (n *rolloutNode) Rollouts() map[string]follow.Rollout {
@@ -538,6 +539,7 @@
 	w.inFlight[at.Version]++
 	if at.Version == w.target {
 		w.lastToTarget = now
+		n.toTarget = append(n.toTarget, now)
 		if now.Before(w.deadline) {
 			w.exposed++
 		}
