settings: limits of hedged requests

Cause: an operator cannot say how much extra work second copies may cause. Change: the block hedging holds a percentage, by pool and route where given, and the reserve of all instances.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/url"
 	"os"
@@ -49,12 +50,29 @@
 	Shutdown Shutdown `json:"shutdown,omitzero"`
 	// Log configures logging. Logs are JSON lines on standard error, or on standard output if platform is set.
 	Log Log `json:"log,omitzero"`
+	// Hedging limits the second copies of slow requests. Applies only if platform is set. Default: second copies
+	// are sent after 0.55 of the route's target and limited by the retry budget only.
+	Hedging *Hedging `json:"hedging,omitempty"`
 	// Platform runs the instance on the users' platform: the tables are read from the platform's metadata
 	// store, the store setting is ignored, and without peers the instance reads that metadata store itself.
 	// Default: none.
 	Platform *Platform `json:"platform,omitempty"`
 }
 
+// Hedging limits second copies, which are sent for idempotent requests without a body that take longer than usual. The
+// most specific limit applies: that of the route, then that of the pool, then percent.
+type Hedging struct {
+	// Percent limits second copies to this percentage of the requests, in steps of 0.1; 0 turns them off. Default 0.
+	Percent float64 `json:"percent"`
+	// Pools replaces percent for the requests of the named pools. Default: none.
+	Pools map[string]float64 `json:"pools,omitempty"`
+	// Routes replaces percent for the requests of the named routes. Default: none.
+	Routes map[string]float64 `json:"routes,omitempty"`
+	// Reserve is the number of second copies that all instances together may carry over from calmer times, for each
+	// limit. An instance carries over at most 2. Default 50.
+	Reserve int `json:"reserve,omitempty"`
+}
+
 // Platform configures access to the users' platform.
 type Platform struct {
 	// Store is the address of the platform's metadata store, as IP:port. Required.
@@ -198,6 +216,9 @@
 	setDefault(&s.Limits.IdleTimeout, table.Duration(2*time.Minute))
 	setDefault(&s.Limits.MaxInstances, 32)
 	setDefault(&s.Shutdown.Notice, table.Duration(2*time.Second))
+	if s.Hedging != nil {
+		setDefault(&s.Hedging.Reserve, 50)
+	}
 	setDefault(&s.Callers.Advertise, s.Callers.Listen)
 	setDefault(&s.Peers.Advertise, s.Peers.Listen)
 }
@@ -230,9 +251,32 @@
 		s.Store.validate(&p)
 	}
 	s.validateLimits(&p)
+	if s.Hedging != nil {
+		s.Hedging.validate(&p)
+	}
 	return p
 }
 
+func (h *Hedging) validate(p *table.Problems) {
+	check := func(path string, percent float64) {
+		if percent < 0 || percent > 100 {
+			p.Add(path, "is no percentage", "give a number from 0 to 100")
+		}
+	}
+	check("$.hedging.percent", h.Percent)
+	for _, list := range []struct {
+		path   string
+		limits map[string]float64
+	}{{"$.hedging.pools", h.Pools}, {"$.hedging.routes", h.Routes}} {
+		for _, name := range slices.Sorted(maps.Keys(list.limits)) {
+			check(list.path+"."+name, list.limits[name])
+		}
+	}
+	if h.Reserve < 0 {
+		p.Add("$.hedging.reserve", "is negative", "give a number of requests, or leave it out")
+	}
+}
+
 func (f *Platform) validate(p *table.Problems, s *Settings) {
 	checkAddress(p, "$.platform.store", f.Store)
 	if f.Domains[s.FailureDomain] != s.Region {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -25,6 +25,17 @@
 	is.Equal(s.Shutdown, Shutdown{Notice: table.Duration(2 * time.Second)})
 }
 
+// Guards against hedging limits in deployments that set none, and against a reserve of zero where none is given.
+func TestHedgingIsOptional(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(minimal))
+	is.NoErr(err)
+	is.True(s.Hedging == nil)
+	s, err = Parse([]byte(minimal[:len(minimal)-1] + `,"hedging":{"percent":0}}`))
+	is.NoErr(err)
+	is.Equal(*s.Hedging, Hedging{Reserve: 50})
+}
+
 // Guards against reporting only one error of the settings per restart.
 func TestParseReportsEveryFault(t *testing.T) {
 	for _, c := range []struct {
@@ -35,6 +46,8 @@
 			"$.peers.listen", "$.peers.tls", "$.store.address"}},
 		{"unknown and wrong", minimal[:len(minimal)-1] + `,"limits":{"max_instance":3,"max_instances":-1,"idle_timeout":"-1s"},"shutdown":{"notice":2}}`,
 			[]string{"$.limits.max_instance", "$.shutdown.notice", "$.limits.max_instances", "$.limits.idle_timeout"}},
+		{"hedging", minimal[:len(minimal)-1] + `,"hedging":{"percent":101,"pool":{},"pools":{"b":-1,"a":200},"routes":{"r":5},"reserve":-1}}`,
+			[]string{"$.hedging.pool", "$.hedging.percent", "$.hedging.pools.a", "$.hedging.pools.b", "$.hedging.reserve"}},
 		{"advertise", minimal[:len(minimal)-1] + `,"admin":{"advertise":"x"}}`, []string{"$.admin.advertise"}},
 		{"peers without authority", `{"instance":"a","region":"r","regions":["r"],"failure_domain":"f","callers":{"listen":"1.2.3.4:1","tls":{"certificate":"c","key":"k"},"plaintext":true},` +
 			`"peers":{"listen":"1.2.3.4:2","tls":{"certificate":"c","key":"k"}},"store":{"address":"1.2.3.4:8500"}}`,
