--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,7 +69,7 @@
 	// Routes replaces percent for the requests of the named routes. Default: none.
 	Routes map[string]float64 `json:"routes,omitempty"`
 	// Reserve is the number of second copies that all instances together may carry over from calmer times, for each
-	// limit. An instance carries over at most 2. Default 50.
+	// limit. An instance carries over at least 1. Default 50.
 	Reserve int `json:"reserve,omitempty"`
 }
 
--- a/pkg/retry/quantile.go
+++ b/pkg/retry/quantile.go
@@ -47,6 +47,13 @@
 	q.current.total++
 }
 
+// NextWindow begins a new window, so that the samples of the last one expire.
+func (q *Quantile) NextWindow() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.last, q.current = q.current, window{}
+}
+
 // Estimate returns the p-quantile, rounded up to a bucket, or false while there are fewer than minSamples samples.
 func (q *Quantile) Estimate(p float64) (time.Duration, bool) {
 	q.mu.Lock()
