gateway, entry: second copies within the limits of the settings

Cause: internal/gateway sends a second copy after 0.55 of the target and bounds it by the retry budget only; it may go to the failure domain whose slowness is the reason, to a crowded pool, or be sent while the first copy still waits for an upstream. Change: with the block hedging, pkg/hedge decides in its place. The entry asks a HedgePlanner for a plan when the delay has passed, and observations tell second copies and superseded attempts apart, so that response times stay true. Without the block, the ports are the same as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -50,6 +50,11 @@
 	err       error
 	ended     bool
 	hedged    bool // run by a goroutine of its own
+	second    bool // the second copy of a request
+	// hedgeAvoid lists the upstreams that get this second copy only if no other one has room.
+	hedgeAvoid []string
+	// placedAt is the time at which a hedged attempt got its upstream; guarded by the exchange's mutex, also upstream then.
+	placedAt time.Time
 
 	// Of the 1xx responses; guarded by the exchange's mutex.
 	interimResponses, interimBytes int
@@ -89,12 +94,13 @@
 // run acquires an upstream and sends the request to it.
 func (a *attempt) run(hedge bool) *attempt {
 	x := a.x
+	a.second = hedge
 	x.mu.Lock()
 	exclude := x.tried[:len(x.tried):len(x.tried)]
 	x.mu.Unlock()
 	pool := x.currentPool()
 	exclude = withoutLosses(&pool, &x.route, exclude, x.avoid)
-	permit, err := x.e.ports.Placement.Acquire(a.ctx, x.acquireRequest(&pool, exclude, hedge))
+	permit, err := a.acquire(&pool, exclude, hedge)
 	if err != nil {
 		a.stop(failPlacement, err)
 		return a
@@ -110,12 +116,27 @@
 		x.tried = x.triedBuf[:0]
 	}
 	x.tried = append(x.tried, a.upstream.ID)
+	if a.hedged {
+		a.placedAt = time.Now()
+	}
 	x.report.attempts++
 	x.mu.Unlock()
 	a.send()
 	return a
 }
 
+// acquire asks placement for an upstream. A second copy is first kept from the upstreams in hedgeAvoid.
+func (a *attempt) acquire(pool *table.Pool, exclude []string, hedge bool) (Permit, error) {
+	x := a.x
+	if preferred := withoutLosses(pool, &x.route, exclude, a.hedgeAvoid); len(preferred) > len(exclude) {
+		permit, err := x.e.ports.Placement.Acquire(a.ctx, x.acquireRequest(pool, preferred, hedge))
+		if err == nil || a.ctx.Err() != nil {
+			return permit, err
+		}
+	}
+	return x.e.ports.Placement.Acquire(a.ctx, x.acquireRequest(pool, exclude, hedge))
+}
+
 // acquireRequest describes an attempt to placement.
 func (x *exchange) acquireRequest(pool *table.Pool, exclude []string, hedge bool) AcquireRequest {
 	return AcquireRequest{
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -141,7 +141,8 @@
 	if len(a.x.e.ports.Observers) == 0 || a.permit == nil {
 		return
 	}
-	o := &Observation{Pool: &a.x.pool, Route: &a.x.route, Upstream: a.upstream, Result: r, BytesUp: a.bytesUp(), BytesDown: a.bytesDown}
+	o := &Observation{Pool: &a.x.pool, Route: &a.x.route, Upstream: a.upstream, Result: r, BytesUp: a.bytesUp(), BytesDown: a.bytesDown, Hedge: a.second}
+	o.Superseded = r.Ending == EndCancelled && errors.Is(context.Cause(a.ctx), errSuperseded)
 	if a.resp != nil {
 		o.Load = a.resp.Header.Get(a.x.e.proto.Load)
 	}
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -98,6 +98,10 @@
 	Refused bool
 	// BytesUp and BytesDown count body bytes sent to and received from the upstream.
 	BytesUp, BytesDown int64
+	// Hedge is set for the second copy of a request.
+	Hedge bool
+	// Superseded is set at the end of an attempt that was cancelled because the other copy won.
+	Superseded bool
 }
 
 // Observer receives one observation when the response header arrives (Result.Ending
@@ -241,6 +245,34 @@
 	Take(pool *table.Pool, route *table.Route) bool
 }
 
+// HedgePlanner is a Hedger that decides on the state of the request. The entry calls Plan in place of Take.
+type HedgePlanner interface {
+	Hedger
+	// Plan decides whether the second copy is sent now. It takes the copy from the budgets if so.
+	Plan(r HedgeRequest) HedgePlan
+}
+
+// HedgeRequest describes a request without a response, whose delay has passed.
+type HedgeRequest struct {
+	Pool  *table.Pool
+	Route *table.Route
+	// Upstream has the first copy since Placed, which is zero while the first copy has no upstream.
+	Upstream table.Upstream
+	Placed   time.Time
+	Deadline time.Time
+	// Suspect is set if an upstream was lost under the request.
+	Suspect bool
+}
+
+// HedgePlan is the decision on a second copy.
+type HedgePlan struct {
+	Send bool
+	// Wait is the time after which to ask again; zero if the request gets no second copy. Unused if Send is set.
+	Wait time.Duration
+	// Avoid lists the IDs of upstreams that get the second copy only if no other one has room.
+	Avoid []string
+}
+
 // Relay connects to entries in other regions.
 type Relay interface {
 	// Open opens a stream to an entry in one of the regions, which passes it to its
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -154,9 +154,9 @@
 	}
 	x.forbid1xx()
 	results := make(chan *attempt, 2)
-	start := func(h http.Header, hedge bool) *attempt {
+	start := func(h http.Header, hedge bool, avoid []string) *attempt {
 		a := x.newAttempt(h, x.deadline)
-		a.hedged = true
+		a.hedged, a.hedgeAvoid = true, avoid
 		go func() {
 			defer func() { results <- a }()
 			defer a.recoverRun()
@@ -165,19 +165,54 @@
 		return a
 	}
 	second := maps.Clone(header)
-	first := start(header, false)
+	first := start(header, false, nil)
 	timer := time.NewTimer(after)
 	defer timer.Stop()
-	select {
-	case a := <-results:
-		return a
-	case <-timer.C:
+	var plan HedgePlan
+	for {
+		select {
+		case a := <-results:
+			return a
+		case <-timer.C:
+		}
+		if plan = x.planHedge(first); plan.Send || plan.Wait <= 0 {
+			break
+		}
+		timer.Reset(plan.Wait)
 	}
-	if !x.e.ports.Hedger.Take(&x.pool, &x.route) {
+	if !plan.Send {
 		return <-results
 	}
 	x.e.metrics.hedges(x.pool.Name).Inc()
-	return x.awaitWinner(results, first, start(second, true))
+	return x.awaitWinner(results, first, start(second, true, plan.Avoid))
+}
+
+// planHedge decides on the second copy after the delay.
+func (x *exchange) planHedge(first *attempt) HedgePlan {
+	planner, ok := x.e.ports.Hedger.(HedgePlanner)
+	if !ok {
+		return HedgePlan{Send: x.e.ports.Hedger.Take(&x.pool, &x.route)}
+	}
+	pool := x.currentPool()
+	r := HedgeRequest{Pool: &pool, Route: &x.route, Deadline: x.deadline, Suspect: x.becameSuspect()}
+	x.mu.Lock()
+	if r.Placed = first.placedAt; !r.Placed.IsZero() {
+		r.Upstream = first.upstream
+	}
+	x.mu.Unlock()
+	return planner.Plan(r)
+}
+
+// becameSuspect reports whether an upstream was lost under the request since it was admitted, for instance one that another
+// caller's copy of it was sent to. A second copy could end another upstream.
+func (x *exchange) becameSuspect() bool {
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	admission, ok := x.e.ports.Quarantine.Admit(ctx, &x.route, x.fingerprint)
+	if ok {
+		admission.Done()
+	}
+	return !ok || admission.Suspect
 }
 
 // awaitWinner returns the first successful attempt and cancels the other one.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -131,13 +131,24 @@
 	c.probes = sampled.NewProbeBudget(c.bounds.ProbesPerSecond, instances)
 	c.mu.Unlock()
 	adapter := &placementAdapter{}
+	retries, hedger, observers := c.extraAttempts(instances, adapter.crowded)
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
+		Placement: adapter, Retries: retries, Hedger: hedger, Observers: observers, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
 	}, c.log)
 	adapter.bind(c.cfg, c.Entry, c.probes, limits, c.log)
 	return nil
 }
 
+// extraAttempts returns what decides on retries and second copies. Without limits of second copies in the settings, the
+// retry budgets alone do.
+func (c *entryService) extraAttempts(instances func() int, crowded func(pool string) bool) (entry.RetryBudget, entry.Hedger, []entry.Observer) {
+	if c.cfg.Hedging == nil {
+		return c.budgets, c.budgets, nil
+	}
+	h := newHedging(*c.cfg.Hedging, c.budgets, instances, crowded)
+	return h, h, []entry.Observer{h}
+}
+
 // instanceCount returns a function for the number of instances that share a limit: the recorded one, or the
 // largest possible one while none is recorded.
 func instanceCount(recorded func() int, largest int) func() int {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -63,6 +63,9 @@
 	return p.policy.RetryAfterShed(sampledRequest(r), deadline)
 }
 
+// crowded reports whether a pool has no room for second copies.
+func (p *placementAdapter) crowded(pool string) bool { return p.policy.Crowded(pool) }
+
 func sampledRequest(r entry.AcquireRequest) sampled.Request {
 	return sampled.Request{ID: r.RequestID, Pool: r.Pool, Route: r.Route, Start: r.Start, Tried: r.Exclude, Urgent: r.Hedge}
 }
--- a/pkg/placement/sampled/refuse.go
+++ b/pkg/placement/sampled/refuse.go
@@ -73,6 +73,13 @@
 	return ch.retryAfterShed(time.Now(), rand.Float64())
 }
 
+// Crowded reports whether a pool is overloaded or mostly full, so that extra copies of requests would take slots from
+// requests that have none.
+func (p *Policy) Crowded(pool string) bool {
+	recent := p.poolPressure(pool)
+	return recent.level() > overloadPressure || recent.mostlyFull()
+}
+
 // maxSpread bounds the time over which callers return that were refused until the same moment.
 const maxSpread = time.Second
 
--- a/pkg/placement/sampled/refuse_test.go
+++ b/pkg/placement/sampled/refuse_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 )
 
@@ -71,3 +72,19 @@
 	t.Logf("within the target: %d of %d with the usual delay, %d with the advised one", before, callers, now)
 	is.True(now-before > callers*refused*(1-refused)*9/10) // nine tenths of those who come back and are not refused again
 }
+
+// Guards against extra copies of requests that are sent to a pool without room, and against a pool that counts as crowded
+// because of a few requests.
+func TestCrowded(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		level, fullness float64
+		want            bool
+	}{{"calm", 0, 0, false}, {"some pressure", 0.3, 0.5, false}, {"overloaded", 0.31, 0, true}, {"mostly full", 0, 0.51, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			p := New(Location{}, nil, nil, logr.Discard())
+			*p.poolPressure("p") = pressure{share: c.level, fullShare: c.fullness}
+			is.New(t).Equal(p.Crowded("p"), c.want)
+		})
+	}
+}
