--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -99,6 +99,28 @@
 	is.True(!retries.Take()) // the second copy took one of two
 }
 
+// Guards against second copies in the moments of lasting overload in which the pool does not look crowded, and against a pool
+// that stays crowded, or one that makes others crowded.
+func TestPoolStaysCrowdedForAWhile(t *testing.T) {
+	h := New(Limits{Percent: 100, Reserve: 10}, fixed(1))
+	for _, c := range []struct {
+		pool    string
+		at      time.Duration
+		crowded bool
+		want    Reason
+	}{
+		{"p", 0, false, Sent}, {"p", 1 * time.Second, true, Crowded}, {"p", 1999 * time.Millisecond, false, Crowded},
+		{"q", 1999 * time.Millisecond, false, Sent}, {"p", 2 * time.Second, false, Sent},
+	} {
+		t.Run(fmt.Sprint(c.pool, c.at, c.crowded), func(t *testing.T) {
+			h.Request(c.pool, "r")
+			s := State{Placed: epoch.Add(-time.Minute), Target: time.Second, Deadline: epoch.Add(time.Hour), Crowded: c.crowded}
+			reason, _ := h.Decide(c.pool, "r", s, ample(), epoch.Add(c.at))
+			is.New(t).Equal(reason, c.want)
+		})
+	}
+}
+
 // Guards against a delay that does not follow the response times of its own pool and route, that is derived from old or few
 // ones, or that is too late for the target.
 func TestDelayFollowsResponseTimes(t *testing.T) {
--- a/pkg/hedge/hedger.go
+++ b/pkg/hedge/hedger.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"sync"
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/retry"
@@ -10,13 +11,20 @@
 type Hedger struct {
 	budgets budgets
 	delays  delays
+	mu      sync.Mutex
+	crowded map[string]time.Time // when a pool was last seen crowded
 }
 
+// crowdedTime is how long a pool counts as crowded after it was seen so. Placement's readings are averages of about ten
+// requests, which fall below their limits for moments in lasting overload.
+const crowdedTime = time.Second
+
 // New returns a hedger. instances returns the number of instances that share the reserve.
 func New(limits Limits, instances func() int) *Hedger {
 	return &Hedger{
 		budgets: budgets{limits: limits, instances: instances, list: map[scope]*retry.Budget{}},
 		delays:  delays{list: map[scope]*estimator{}},
+		crowded: map[string]time.Time{},
 	}
 }
 
@@ -49,6 +57,7 @@
 	if !ok {
 		return Limit, 0
 	}
+	s.Crowded = h.recentlyCrowded(pool, s.Crowded, now)
 	if reason, wait := judge(s, d, now); reason != Sent {
 		return reason, wait
 	}
@@ -62,3 +71,17 @@
 	}
 	return Sent, 0
 }
+
+// recentlyCrowded reports whether a pool is or lately was crowded.
+func (h *Hedger) recentlyCrowded(pool string, crowded bool, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if crowded {
+		h.crowded[pool] = now
+	}
+	at, known := h.crowded[pool]
+	if known && now.Sub(at) >= crowdedTime {
+		delete(h.crowded, pool)
+	}
+	return known && now.Sub(at) < crowdedTime
+}
