--- a/pkg/hedge/hedger.go
+++ b/pkg/hedge/hedger.go
@@ -72,6 +72,19 @@
 	return Sent, 0
 }
 
+// Explanation is the limit of a request at the moment.
+type Explanation struct {
+	Percent float64
+	// Left is the number of second copies that the limit allows now.
+	Left float64
+}
+
+// Explain returns the limit of the requests of a route without using it.
+func (h *Hedger) Explain(pool, route string) Explanation {
+	budget, percent := h.budgets.forRequest(pool, route)
+	return Explanation{Percent: percent, Left: budget.Left()}
+}
+
 // recentlyCrowded reports whether a pool is or lately was crowded.
 func (h *Hedger) recentlyCrowded(pool string, crowded bool, now time.Time) bool {
 	h.mu.Lock()
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -287,15 +287,23 @@
 
 // judge estimates the response time of the candidate from a reading and decides whether it may be used.
 func (p *Policy) judge(ch *chooser, c *candidate, r Reading) {
+	p.assess(ch.target, c, r, time.Now())
+	if r.Cold == 0 {
+		c.excluded = ch.yields(c.reading)
+	}
+}
+
+// assess is judge without the decision to leave a slot to others, which is random.
+func (p *Policy) assess(target time.Duration, c *candidate, r Reading, now time.Time) {
 	if !r.Loaded { // only the in-flight requests of this instance are known
 		r.Running, r.Slots, r.Slowdown = c.pending, max(r.Slots, 1), 1
 	}
 	c.reading = r
-	c.cost = estimate(r, c.distance, c.suspicion, ch.target)
-	c.excluded = ch.yields(r)
+	c.cost = estimate(r, c.distance, c.suspicion, target)
+	c.excluded = false
 	if r.Cold > 0 {
 		c.mayBeCold = true
-		c.excluded = r.Running+r.Waiting > 0 || p.sentWhileCold(c.upstream.ID, time.Now())
+		c.excluded = r.Running+r.Waiting > 0 || p.sentWhileCold(c.upstream.ID, now)
 	}
 }
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -38,6 +38,11 @@
 // Return refunds an extra attempt that was not sent.
 func (b *Budget) Return() { b.add(attemptTokens) }
 
+// Left returns the extra attempts that are left, without using any.
+func (b *Budget) Left() float64 {
+	return float64(min(b.tokens.Load(), b.burst.Load())) / attemptTokens
+}
+
 func (b *Budget) add(tokens int64) {
 	for {
 		old := b.tokens.Load()
