admin, cli: turmericsail where shows what a request would meet

Cause: why a request gets an upstream, a refusal or no second copy can be seen from logs only, after it was sent. Change: POST /where of the admin listener runs the entry's matching, the quarantine's check, placement's explanation and the limits without sending anything or using a budget; the command prints it as text or JSON.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -81,7 +81,7 @@
 	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
 		return fault.Wrap(fault.Invalid, err, "the flags cannot be used", "see: "+cmd.CommandPath()+" --help")
 	})
-	root.AddCommand(newServe(), newStandin(), newRow(routeRows), newRow(poolRows), newCheck(), newStatus(), newSchema(), newVersion(), newLoad(), newDemo(), newExplain())
+	root.AddCommand(newServe(), newStandin(), newRow(routeRows), newRow(poolRows), newCheck(), newStatus(), newSchema(), newVersion(), newLoad(), newDemo(), newExplain(), newWhere())
 	for _, c := range root.Commands() {
 		classifyArgs(c)
 	}
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -246,13 +246,19 @@
 }
 
 // hedgeDelay returns the delay before a second copy may be sent, or false if the request must not be
-// hedged. Only idempotent requests without a body and without an identity are hedged, and no suspects.
+// hedged.
 func (x *exchange) hedgeDelay() (time.Duration, bool) {
-	if x.runs()+1 >= x.route.Retry.MaxAttempts { // the first copy uses the last allowed attempt
-		return 0, false
-	}
-	if x.body != nil || x.identity != "" || x.suspect || !x.route.IsIdempotent(x.r.Method) {
+	if !x.mayHedge() {
 		return 0, false
 	}
 	return x.e.ports.Hedger.After(&x.pool, &x.route)
 }
+
+// mayHedge reports whether a second copy of the request is safe. Only idempotent requests without a body and without an
+// identity are hedged, and no suspects.
+func (x *exchange) mayHedge() bool {
+	if x.runs()+1 >= x.route.Retry.MaxAttempts { // the first copy uses the last allowed attempt
+		return false
+	}
+	return x.body == nil && x.identity == "" && !x.suspect && x.route.IsIdempotent(x.r.Method)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,10 @@
 	bounds  platform.Bounds
 	budgets *retryBudgets        // nil until then
 	probes  *sampled.ProbeBudget // nil until then
+
+	snapshots entry.Snapshots
+	placement *placementAdapter
+	hedger    entry.Hedger
 }
 
 var (
@@ -132,6 +136,7 @@
 	c.mu.Unlock()
 	adapter := &placementAdapter{}
 	retries, hedger, observers := c.extraAttempts(instances, adapter.crowded)
+	c.snapshots, c.placement, c.hedger = followed, adapter, hedger
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
 		Placement: adapter, Retries: retries, Hedger: hedger, Observers: observers, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects,
 	}, c.log)
@@ -177,7 +182,12 @@
 	if err != nil {
 		return err
 	}
+	data, err := kernel.Lookup[*entryService](k, EntryHTTP)
+	if err != nil {
+		return err
+	}
 	o.Server = admin.New(o.cfg.Admin, followed.Ready, func() any { return followed.Snapshot() })
+	o.Where(data.where)
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -116,8 +116,8 @@
 
 // Admin configures the operators' listener.
 type Admin struct {
-	// Listen is the address to listen on, as IP:port. It serves /livez, /readyz, /metrics, /status and /schema
-	// without authentication, so do not expose it to callers' networks. Default 127.0.0.1:9901.
+	// Listen is the address to listen on, as IP:port. It serves /livez, /readyz, /metrics, /status, /schema and
+	// /where without authentication, so do not expose it to callers' networks. Default 127.0.0.1:9901.
 	Listen string `json:"listen,omitempty"`
 	// Advertise is the address, as IP:port, at which operators' commands reach the listener; it is
 	// published in the platform's list. Default: listen.
