--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,10 @@
 	bounds  platform.Bounds
 	budgets *retryBudgets        // nil until then
 	probes  *sampled.ProbeBudget // nil until then
+
+	snapshots entry.Snapshots
+	placement *placementAdapter
+	hedger    entry.Hedger
 }
 
 var (
@@ -148,13 +152,25 @@
 	c.probes = sampled.NewProbeBudget(c.bounds.ProbesPerSecond, instances)
 	c.mu.Unlock()
 	adapter := &placementAdapter{}
+	retries, hedger, observers := c.extraAttempts(instances, adapter.crowded)
+	c.snapshots, c.placement, c.hedger = followed, adapter, hedger
 	c.Entry = entry.New(c.cfg, followed, entry.Ports{
-		Placement: adapter, Retries: c.budgets, Hedger: c.budgets, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects, Rates: rates,
+		Placement: adapter, Retries: retries, Hedger: hedger, Observers: observers, Protocol: platform.Protocol(), Direct: true, RoutineVerbosity: 1, Instances: instances, Intake: limits, Quarantine: suspects, Rates: rates,
 	}, c.log)
 	adapter.bind(c.cfg, c.Entry, c.probes, limits, rollouts, c.log)
 	return nil
 }
 
+// extraAttempts returns what decides on retries and second copies. Without limits of second copies in the settings, the
+// retry budgets alone do.
+func (c *entryService) extraAttempts(instances func() int, crowded func(pool string) bool) (entry.RetryBudget, entry.Hedger, []entry.Observer) {
+	if c.cfg.Hedging == nil {
+		return c.budgets, c.budgets, nil
+	}
+	h := newHedging(*c.cfg.Hedging, c.budgets, instances, crowded)
+	return h, h, []entry.Observer{h}
+}
+
 // instanceCount returns a function for the number of instances that share a limit: the recorded one, or the
 // largest possible one while none is recorded.
 func instanceCount(recorded func() int, largest int) func() int {
@@ -183,7 +199,12 @@
 	if err != nil {
 		return err
 	}
+	data, err := kernel.Lookup[*entryService](k, EntryHTTP)
+	if err != nil {
+		return err
+	}
 	o.Server = admin.New(o.cfg.Admin, followed.Ready, func() any { return followed.Snapshot() })
+	o.Where(data.where)
 	return nil
 }
 
