rate, entry: requests that miss their target leave scarce tokens to others

Cause: a workspace over its limit has a fixed number of tokens. Callers whose requests were refused come back and take tokens although their answer is late by then, while requests that could meet their target are refused.

Change: while the lender had no token within the last second, a request whose caller has been trying for half of the target is refused at once and told to come back after one to two seconds.

--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -11,8 +11,9 @@
 // Rates keeps the request rates of workspaces.
 type Rates interface {
 	// Admit reports whether a request of the workspace may be sent. It may wait shortly. If ok is true, release is
-	// called when the request turns out not to be sent; otherwise it may come back after retryAfter.
-	Admit(ctx context.Context, w *table.Workspace) (release func(), retryAfter time.Duration, ok bool)
+	// called when the request turns out not to be sent; otherwise it may come back after retryAfter. late is set for a
+	// request that will hardly meet its target.
+	Admit(ctx context.Context, w *table.Workspace, late bool) (release func(), retryAfter time.Duration, ok bool)
 }
 
 // admitRate asks for the permission to send the request, if its workspace has a rate. Further attempts need no other
@@ -23,7 +24,7 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
-	release, after, ok := x.e.ports.Rates.Admit(ctx, x.keyWorkspace)
+	release, after, ok := x.e.ports.Rates.Admit(ctx, x.keyWorkspace, x.isLate())
 	if !ok {
 		return refuseOverQuota(after)
 	}
@@ -31,6 +32,14 @@
 	return nil
 }
 
+// lateShare is the share of the target after which a request will hardly meet it: one run usually takes half of it.
+const lateShare = 0.5
+
+// isLate reports whether the caller has been trying for so long that the request will hardly meet its target.
+func (x *exchange) isLate() bool {
+	return float64(x.callerElapsed+time.Since(x.start)) > lateShare*float64(x.route.Target)
+}
+
 // returnRate returns the permission of a request that no upstream ran.
 func (x *exchange) returnRate() {
 	if x.releaseRate != nil && x.runs() == 0 && !x.maybeRan.Load() {
--- a/internal/entry/rates_test.go
+++ b/internal/entry/rates_test.go
@@ -19,10 +19,12 @@
 	ok              bool
 	after           time.Duration
 	asked, released atomic.Int64
+	late            atomic.Bool // of the last request
 }
 
-func (f *fixedRates) Admit(_ context.Context, w *table.Workspace) (func(), time.Duration, bool) {
+func (f *fixedRates) Admit(_ context.Context, w *table.Workspace, late bool) (func(), time.Duration, bool) {
 	f.asked.Add(1)
+	f.late.Store(late)
 	if !f.ok {
 		return nil, f.after, false
 	}
@@ -112,3 +114,22 @@
 		})
 	}
 }
+
+// Guards against requests that miss their target and are not told from others, so that they take scarce tokens.
+func TestRatesLearnWhichRequestsAreLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		target time.Duration
+		late   bool
+	}{"in time": {time.Minute, false}, "late": {time.Nanosecond, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rates, route := &fixedRates{ok: true}, testRoute()
+			route.Target = table.Duration(c.target)
+			h := newHarness(t, route, []string{serveUpstream(t, &recordingUpstream{})}, withPorts(func(p *Ports) { p.Rates = rates }))
+			h.workspaces = []table.Workspace{limited("good", 10)}
+			h.apply()
+			is.Equal(h.do("GET", "/x", nil, bearer("good")...).status, 200)
+			is.Equal(rates.late.Load(), c.late)
+		})
+	}
+}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -100,6 +100,6 @@
 }
 
 // Admit implements entry.Rates.
-func (s *ratesService) Admit(ctx context.Context, w *table.Workspace) (release func(), retryAfter time.Duration, ok bool) {
-	return s.Service.Admit(ctx, limitOf(w))
+func (s *ratesService) Admit(ctx context.Context, w *table.Workspace, late bool) (release func(), retryAfter time.Duration, ok bool) {
+	return s.Service.Admit(ctx, limitOf(w), late)
 }
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -119,6 +119,8 @@
 	need      int // the tokens for waiting requests that the call in flight asks for
 	holdUntil Reading
 	hold      time.Duration // the lender's estimate at the start of the hold
+	refused   bool          // the lender has had no token at refusedAt
+	refusedAt Reading
 }
 
 // batch is a number of tokens of one reply.
@@ -264,6 +266,19 @@
 	return Decision{Verdict: Wait, Waiter: w}
 }
 
+// Yield refuses a request that comes too late for its target, while tokens of its workspace are scarce. The load that it
+// answers: a workspace asks for several times its limit, and callers whose requests were refused come back. Without it,
+// most tokens go to them, and requests that could still meet their target are refused.
+func (b *Borrower) Yield(now Reading, limit Limit) (Decision, bool) {
+	a := b.accounts[limit.Name]
+	if a == nil || !a.refused || longest(a.refusedAt, now) >= scarceTime {
+		return Decision{}, false
+	}
+	a.count(now)
+	b.stats.OverLimit++
+	return Decision{Verdict: OverLimit, RetryAfter: scarceTime + b.spread(scarceTime)}, true
+}
+
 // spend takes a token of a lease or of the own share.
 func (b *Borrower) spend(a *account, now Reading) (Decision, bool) {
 	b.expire(a, now)
@@ -569,6 +584,7 @@
 		return // the next call gets a token
 	}
 	a.hold, a.holdUntil = wait, now.Add(min(wait, maxHold))
+	a.refused, a.refusedAt = true, now
 	for len(a.waiting) > 0 {
 		b.stats.OverLimit++
 		b.decide(a, Decision{Verdict: OverLimit, RetryAfter: wait + b.spread(wait)})
--- a/pkg/rate/rules.go
+++ b/pkg/rate/rules.go
@@ -55,6 +55,9 @@
 	maxAvoidTime = time.Minute
 	// moveSpread is the time over which the borrowers move to a preferred lender, so that both have enough shares.
 	moveSpread = 10 * time.Second
+	// scarceTime is the time after a lender had no token for which requests that miss their target leave tokens to others.
+	// It covers the pause between two requests of a workspace at one instance while the workspace floods.
+	scarceTime = time.Second
 	// maxBackoff bounds the pause after failed calls.
 	maxBackoff = time.Second
 
--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -164,8 +164,9 @@
 }
 
 // Admit asks for permission to send one request of a workspace, and waits at most maxWait for it. A request that was
-// admitted and then sent nowhere calls release. A refused one may come back after retryAfter.
-func (s *Service) Admit(ctx context.Context, limit Limit) (release func(), retryAfter time.Duration, ok bool) {
+// admitted and then sent nowhere calls release. A refused one may come back after retryAfter. late tells that the
+// request cannot meet its target any more.
+func (s *Service) Admit(ctx context.Context, limit Limit, late bool) (release func(), retryAfter time.Duration, ok bool) {
 	if !(limit.Rate > 0) {
 		return func() {}, 0, true
 	}
@@ -175,7 +176,13 @@
 	if !s.ticked {
 		s.tickBorrower()
 	}
-	d := s.borrower.Take(now, limit, func(d Decision) { answer <- d })
+	d, decided := Decision{}, false
+	if late {
+		d, decided = s.borrower.Yield(now, limit)
+	}
+	if !decided {
+		d = s.borrower.Take(now, limit, func(d Decision) { answer <- d })
+	}
 	if d.Verdict == Wait {
 		answer = make(chan Decision, 1) // before the lock is released, so before the decision
 	}
--- a/pkg/rate/service_test.go
+++ b/pkg/rate/service_test.go
@@ -82,7 +82,7 @@
 		f := startFleet(ctx, 4, nil)
 		for range 100 {
 			time.Sleep(time.Second)
-			_, _, ok := f.services[3].Admit(ctx, Limit{Name: "w"})
+			_, _, ok := f.services[3].Admit(ctx, Limit{Name: "w"}, false)
 			is.True(ok)
 		}
 		is.Equal(f.calls.Load(), int64(0))
@@ -109,7 +109,7 @@
 		var all sync.WaitGroup
 		for range 80 {
 			all.Go(func() {
-				if _, _, ok := f.services[7].Admit(ctx, limit); ok {
+				if _, _, ok := f.services[7].Admit(ctx, limit, false); ok {
 					admitted.Add(1)
 				}
 			})
@@ -120,7 +120,7 @@
 		before = f.calls.Load()
 		for range 1000 {
 			time.Sleep(time.Millisecond)
-			all.Go(func() { _, _, _ = f.services[7].Admit(ctx, limit) })
+			all.Go(func() { _, _, _ = f.services[7].Admit(ctx, limit, false) })
 		}
 		all.Wait()
 		t.Logf("%d calls in a second of 1000 requests", f.calls.Load()-before)
@@ -145,7 +145,7 @@
 		start := time.Now()
 		for i := range 300 { // 30 a second
 			time.Sleep(time.Second / 30)
-			if _, after, ok := f.services[2+i%6].Admit(ctx, limit); !ok {
+			if _, after, ok := f.services[2+i%6].Admit(ctx, limit, false); !ok {
 				is.True(after > 0)
 				refused++
 				last = time.Since(start)
@@ -177,7 +177,7 @@
 		time.Sleep(10 * time.Second)
 		count := func() (n int) {
 			for {
-				release, after, ok := s.Admit(ctx, limit)
+				release, after, ok := s.Admit(ctx, limit, false)
 				if !ok {
 					is.True(after > 0 && after < 3*time.Second)
 					return n
@@ -218,7 +218,7 @@
 		if len(account.batches) == 0 || account.batches[0].left == 0 {
 			account.batches = []*batch{{sent: s.clock(), lifetime: time.Hour, leased: true, left: 1 << 30, reported: 1 << 30}}
 		}
-		if _, _, ok := s.Admit(ctx, limit); !ok {
+		if _, _, ok := s.Admit(ctx, limit, false); !ok {
 			b.Fatal("refused")
 		}
 	}
