settings: the machine's memory and descriptors

With limits.memory set, three eighths are the collector's soft limit. Without it, the limit is as before.

The positional literal of the settings' defaults in a test gets the two new fields, both zero.

--- a/internal/cli/gc.go
+++ b/internal/cli/gc.go
@@ -28,6 +28,23 @@
 		debug.SetGCPercent(percent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(2*int64(cfg.Limits.RecordBytes) + gcHeadroom)
+		debug.SetMemoryLimit(memoryLimit(cfg))
 	}
 }
+
+// memoryLimit returns the soft memory limit of the collector in bytes. With the memory of the machine set, it is three
+// eighths of it: garbage of clients' requests must not take what the kernel, the program's text and live memory need.
+// Records of requests are live for their whole window, so an instance that keeps them gets room for them, up to three
+// quarters; the collector would run without pause below its live memory.
+func memoryLimit(cfg settings.Settings) int64 {
+	limit := 2*int64(cfg.Limits.RecordBytes) + gcHeadroom
+	machine := int64(cfg.Limits.Memory)
+	if machine == 0 {
+		return limit
+	}
+	share := machine * 3 / 8
+	if cfg.Platform == nil {
+		share = min(max(share, 2*int64(cfg.Limits.RecordBytes)), machine*3/4)
+	}
+	return min(limit, share)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -134,6 +134,15 @@
 	// MaxInstances is the maximum number of instances of the deployment. Each instance may use 1/max_instances
 	// of an upstream's connections without coordinating with others. Default 32.
 	MaxInstances int `json:"max_instances,omitempty"`
+	// Memory is the memory of the machine that the instance may use, with a unit. An eighth of it bounds what the
+	// header sections, kept bodies and buffered answers of all callers take together; beyond it, requests are
+	// refused with status 503 and unfinished header sections are closed. If set, three eighths are the soft limit of
+	// the garbage collector. Default: the memory of the system or of its control group.
+	Memory table.Size `json:"memory,omitempty"`
+	// Descriptors is the number of descriptors that the instance may open. Half of it, less a reserve of 200 or a
+	// quarter, bounds the connections of callers; beyond it, the oldest connection without a request is closed.
+	// Default: the limit of the process.
+	Descriptors int `json:"descriptors,omitempty"`
 }
 
 // Shutdown configures the graceful shutdown.
@@ -179,6 +188,13 @@
 // minQuarantineKey is the minimum length of the key in bytes.
 const minQuarantineKey = 16
 
+const (
+	// minMemory is the least limits.memory in bytes; the program itself needs about half of it.
+	minMemory = 32 << 20
+	// minDescriptors is the least limits.descriptors; an idle instance holds about 20.
+	minDescriptors = 64
+)
+
 func setDefault[T comparable](v *T, def T) {
 	var zero T
 	if *v == zero {
@@ -251,6 +267,12 @@
 	if s.Limits.MaxInstances < 1 {
 		p.Add("$.limits.max_instances", "is less than 1", "give the largest number of instances of the deployment")
 	}
+	if s.Limits.Memory != 0 && s.Limits.Memory < minMemory {
+		p.Add("$.limits.memory", "is less than 32MiB", "give the memory of the machine, or leave it out")
+	}
+	if s.Limits.Descriptors != 0 && s.Limits.Descriptors < minDescriptors {
+		p.Add("$.limits.descriptors", "is less than 64", "give the descriptors that the process may open, or leave it out")
+	}
 	for _, d := range []struct {
 		path  string
 		value table.Duration
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,7 +21,7 @@
 	is.Equal(s.Admin, Admin{Listen: "127.0.0.1:9901", Advertise: "127.0.0.1:9901"})
 	is.Equal(s.Callers.Advertise, "127.0.0.1:8080")
 	is.Equal(s.Store, Store{Address: "http://127.0.0.1:8500", Timeout: table.Duration(2 * time.Second)})
-	is.Equal(s.Limits, Limits{64 << 10, 4 << 30, table.Duration(5 * time.Second), table.Duration(2 * time.Minute), 256 << 20, 32})
+	is.Equal(s.Limits, Limits{64 << 10, 4 << 30, table.Duration(5 * time.Second), table.Duration(2 * time.Minute), 256 << 20, 32, 0, 0})
 	is.Equal(s.Shutdown, Shutdown{Notice: table.Duration(2 * time.Second)})
 }
 
@@ -33,8 +33,8 @@
 	}{
 		{"empty", `{}`, []string{"$.instance", "$.region", "$.failure_domain", "$.regions", "$.callers.listen", "$.callers.tls",
 			"$.peers.listen", "$.peers.tls", "$.store.address"}},
-		{"unknown and wrong", minimal[:len(minimal)-1] + `,"limits":{"max_instance":3,"max_instances":-1,"idle_timeout":"-1s"},"shutdown":{"notice":2}}`,
-			[]string{"$.limits.max_instance", "$.shutdown.notice", "$.limits.max_instances", "$.limits.idle_timeout"}},
+		{"unknown and wrong", minimal[:len(minimal)-1] + `,"limits":{"max_instance":3,"max_instances":-1,"idle_timeout":"-1s","memory":"1MiB","descriptors":9},"shutdown":{"notice":2}}`,
+			[]string{"$.limits.max_instance", "$.shutdown.notice", "$.limits.max_instances", "$.limits.memory", "$.limits.descriptors", "$.limits.idle_timeout"}},
 		{"advertise", minimal[:len(minimal)-1] + `,"admin":{"advertise":"x"}}`, []string{"$.admin.advertise"}},
 		{"peers without authority", `{"instance":"a","region":"r","regions":["r"],"failure_domain":"f","callers":{"listen":"1.2.3.4:1","tls":{"certificate":"c","key":"k"},"plaintext":true},` +
 			`"peers":{"listen":"1.2.3.4:2","tls":{"certificate":"c","key":"k"}},"store":{"address":"1.2.3.4:8500"}}`,
