entry: bound the connections of callers

Connections are now bounded by half of the descriptors less a reserve. A new one takes the place of the oldest that carries no request, at the address with most of them; connections with a request are never closed for a newcomer.

--- /dev/null
+++ b/internal/callers/guard_test.go
@@ -0,0 +1,76 @@
+package callers
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a new connection that takes the place of one with a request, and against ordinary callers that lose
+// theirs to an address with many connections.
+func TestGuardReplacesTheOldestUselessConnection(t *testing.T) {
+	type step struct {
+		address string
+		phase   Phase
+	}
+	for _, c := range []struct {
+		name    string
+		open    []step // in this order; the limit is their number
+		closed  int    // the index of the connection that is closed, or -1 if the new one is
+		reasons []string
+	}{
+		{"all carry requests", []step{{"a", PhaseActive}, {"a", PhaseActive}}, -1, []string{ReasonFull}},
+		{"oldest new", []step{{"a", PhaseActive}, {"a", PhaseNew}, {"a", PhaseNew}}, 1, []string{ReasonReplaced}},
+		{"new before idle", []step{{"a", PhaseIdle}, {"a", PhaseIdle}, {"a", PhaseNew}}, 2, []string{ReasonReplaced}},
+		{"oldest idle", []step{{"a", PhaseActive}, {"a", PhaseIdle}, {"a", PhaseIdle}}, 1, []string{ReasonReplaced}},
+		{"address with most", []step{{"a", PhaseNew}, {"b", PhaseNew}, {"b", PhaseNew}}, 1, []string{ReasonReplaced}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var reasons []string
+			closed := -1
+			g := NewGuard(len(c.open), func(reason string) { reasons = append(reasons, reason) })
+			var members []*Member
+			for i, s := range c.open {
+				m := g.Join(s.address, func() { closed = i; members[i].Leave() })
+				members = append(members, m)
+				m.Enter(s.phase)
+			}
+			m := g.Join("a", func() {})
+			is.Equal(m == nil, c.closed == -1)
+			is.Equal(closed, c.closed)
+			is.True(slices.Equal(reasons, c.reasons))
+			open, limit := g.Connections()
+			is.Equal(open, limit)
+			for _, m := range members {
+				m.Leave()
+				m.Leave() // a connection may be closed twice
+				m.Enter(PhaseIdle)
+			}
+			if m != nil {
+				m.Leave()
+			}
+			open, _ = g.Connections()
+			is.Equal(open, 0)
+		})
+	}
+}
+
+// Guards against a reservation that fails and still counts.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(10)
+	is.True(b.Take(10))
+	is.True(!b.Take(1))
+	b.Give(4)
+	is.True(b.Take(4))
+	is.Equal(b.Used(), b.Limit())
+}
+
+// Guards against a process that has no descriptors left for its other listeners.
+func TestMaxConnections(t *testing.T) {
+	for _, c := range []struct{ descriptors, want int }{{64, 24}, {160, 60}, {2870, 1335}, {8192, 3996}} {
+		is.New(t).Equal(MaxConnections(c.descriptors), c.want)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 
+	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/internal/tlsconf"
@@ -52,6 +53,7 @@
 	timing           timing
 	metrics          *telemetry
 	deadlines        *deadlineHistory
+	guard            *callers.Guard
 
 	server        *http.Server
 	relayedServer *http.Server // serves streams relayed by entries outside the home regions
@@ -97,7 +99,12 @@
 	e.server.Protocols.SetHTTP2(true)
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
 	e.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
-	e.server.ConnState = newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() }).connState
+	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.metrics.closedConnections)
+	idle := newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() })
+	e.server.ConnState = func(c net.Conn, s http.ConnState) {
+		idle.connState(c, s)
+		enterPhase(c, s)
+	}
 	e.server.ConnContext = countRequests
 	e.relayedServer = e.newServer(true)
 	return e
@@ -159,6 +166,7 @@
 }
 
 func (e *Entry) serveCallers(l net.Listener) error {
+	l = &callers.Listener{Listener: l, Guard: e.guard}
 	if e.cfg.Callers.TLS == nil {
 		return e.server.Serve(l)
 	}
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -106,6 +106,11 @@
 	return t.counter("turmericsail_resumes_total{pool=%q}", pool)
 }
 
+// closedConnections counts connections of callers that were closed because of a limit of all callers together.
+func (t *telemetry) closedConnections(reason string) {
+	t.counter("turmericsail_connections_closed_total{reason=%q}", reason).Inc()
+}
+
 // aborts counts responses that were aborted after their header was sent.
 func (t *telemetry) aborts(route string) *metrics.Counter {
 	return t.counter("turmericsail_aborted_answers_total{route=%q}", route)
