entry: bound the memory of header sections while they are read

net/http stores each header line at about 105 bytes besides its contents, so 60 clients with short lines took 110 to 291 MB. A connection wrapper counts bytes and lines before net/http stores them, and reserves their memory from a budget of an eighth of limits.memory. When it is used up, the oldest unfinished header section is closed. Lines are not counted on encrypted connections, where only the bytes are.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -1,14 +1,21 @@
 package callers
 
 import (
+	"bytes"
+	"container/list"
 	"net"
 	"sync"
+	"time"
 )
 
 // Listener admits the connections of callers that its guard allows.
 type Listener struct {
 	net.Listener
-	Guard *Guard
+	Guard    *Guard
+	Sections *Sections
+	// Encrypted is set if the bytes of connections are not those of HTTP. Lines are then not counted, and a section
+	// costs its bytes only.
+	Encrypted bool
 }
 
 var _ net.Listener = (*Listener)(nil)
@@ -20,7 +27,7 @@
 		if err != nil {
 			return nil, err
 		}
-		wrapped := &Conn{Conn: c}
+		wrapped := &Conn{Conn: c, sections: l.Sections, encrypted: l.Encrypted, inSection: true}
 		if wrapped.member = l.Guard.Join(AddressOf(c), func() { _ = wrapped.Close() }); wrapped.member != nil {
 			return wrapped, nil
 		}
@@ -28,19 +35,165 @@
 	}
 }
 
-// Conn is a connection of a caller.
+// Conn is a connection of a caller. It counts what net/http reads of a header section, which ends when net/http reports
+// the connection as active.
 type Conn struct {
 	net.Conn
-	member *Member
-	once   sync.Once
+	member    *Member
+	sections  *Sections
+	encrypted bool
+	reading   *list.Element // guarded by the mutex of sections
+
+	mu        sync.Mutex
+	inSection bool
+	prefaced  int // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
+	size      int64
+	lines     int64
+	charged   int64
+	closed    bool
+}
+
+var _ net.Conn = (*Conn)(nil)
+
+// http2Preface starts a connection of HTTP/2 (RFC 9113, section 3.4).
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	cost, tooLarge := c.count(p[:n])
+	switch {
+	case tooLarge:
+		c.refuse()
+		return 0, net.ErrClosed
+	case cost < 0: // the section turned out to be the start of HTTP/2
+		c.release()
+	case cost > 0 && !c.reserve(cost):
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// count adds bytes to the header section, if one is being read, and returns what they cost.
+func (c *Conn) count(p []byte) (cost int64, tooLarge bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.inSection {
+		return 0, false
+	}
+	if c.http2(p) {
+		return -c.charged, false
+	}
+	c.size += int64(len(p))
+	limit := c.sections.MaxBytes()
+	if c.encrypted {
+		c.size = min(c.size, limit) // net/http bounds what it keeps of it
+	} else {
+		c.lines += int64(bytes.Count(p, []byte{'\n'}))
+	}
+	if c.size > limit {
+		return 0, true
+	}
+	return SectionCost(c.size, c.lines) - c.charged, false
+}
+
+// http2 reports whether the connection has turned out to be one of HTTP/2, which has no header section of its own.
+func (c *Conn) http2(p []byte) bool {
+	if c.prefaced < 0 {
+		return false
+	}
+	rest := http2Preface[c.prefaced:]
+	n := min(len(p), len(rest))
+	if string(p[:n]) != rest[:n] {
+		c.prefaced = -1
+		return false
+	}
+	if c.prefaced += n; c.prefaced < len(http2Preface) {
+		return false
+	}
+	c.inSection = false
+	return true
+}
+
+// reserve reserves memory for the header section and reports success.
+func (c *Conn) reserve(cost int64) bool {
+	if !c.sections.admit(c, cost) {
+		c.sections.finish(c)
+		return false
+	}
+	c.mu.Lock()
+	closed := c.closed
+	if !closed {
+		c.charged += cost
+	}
+	c.mu.Unlock()
+	if closed { // meanwhile, to make room for another section
+		c.sections.finish(c)
+		c.sections.Budget.Give(cost)
+	}
+	return !closed
+}
+
+// release returns the memory of the header section.
+func (c *Conn) release() {
+	c.sections.finish(c)
+	c.mu.Lock()
+	charged := c.charged
+	c.charged, c.size, c.lines = 0, 0, 0
+	c.mu.Unlock()
+	c.sections.Budget.Give(charged)
+}
+
+// refuse sends a refusal and waits until the caller can have read it.
+func (c *Conn) refuse() {
+	c.sections.OnClose(ReasonHeader)
+	c.release()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
+	c.sections.Refuse(c.Conn)
+	_ = c.CloseWrite()
+	time.Sleep(refusalTime)
 }
 
 // Enter records the phase of the connection.
-func (c *Conn) Enter(p Phase) { c.member.Enter(p) }
+func (c *Conn) Enter(p Phase) {
+	c.member.Enter(p)
+	switch p {
+	case PhaseActive:
+		c.sections.finish(c)
+		c.setInSection(false)
+	case PhaseIdle:
+		c.release()
+		c.setInSection(true)
+	}
+}
+
+// setInSection starts or ends a header section. A connection of HTTP/2 has none.
+func (c *Conn) setInSection(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inSection = v && c.prefaced < len(http2Preface)
+}
+
+// Charged returns the memory that is reserved for the header section of the request that the connection carries.
+func (c *Conn) Charged() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.charged
+}
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
-	c.once.Do(c.member.Leave)
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if first {
+		c.member.Leave()
+	}
+	c.release()
 	return c.Conn.Close()
 }
 
--- /dev/null
+++ b/internal/callers/conn_test.go
@@ -0,0 +1,100 @@
+package callers
+
+import (
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// pipe returns an admitted connection and the side of its client.
+func pipe(s *Sections, encrypted bool) (*Conn, net.Conn) {
+	server, client := net.Pipe()
+	g := NewGuard(10, func(string) {})
+	c := &Conn{Conn: server, sections: s, encrypted: encrypted, inSection: true}
+	c.member = g.Join("", func() { _ = c.Close() })
+	return c, client
+}
+
+func testSections(budget int64) (*Sections, *[]string) {
+	var reasons []string
+	return &Sections{
+		Budget: NewBudget(budget), MaxBytes: func() int64 { return 1000 }, Refuse: func(net.Conn) {},
+		OnClose: func(reason string) { reasons = append(reasons, reason) },
+	}, &reasons
+}
+
+// feed sends text to the connection and returns the error of its reader.
+func feed(c *Conn, client net.Conn, text string) error {
+	go func() { _, _ = io.WriteString(client, text) }()
+	_, err := io.ReadFull(c, make([]byte, len(text)))
+	return err
+}
+
+// Guards against memory that is not reserved before net/http stores a line, or that is never returned.
+func TestHeaderSectionIsCharged(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		text      string
+		encrypted bool
+		want      int64
+	}{
+		{"lines", "GET / HTTP/1.1\r\na:\r\n", false, SectionCost(20, 2)},
+		{"encrypted", "GET / HTTP/1.1\r\na:\r\n", true, SectionCost(20, 0)},
+		{"HTTP/2", http2Preface + "\n\n\n", false, 0},
+		{"almost HTTP/2", http2Preface[:20] + "\n\n", false, SectionCost(22, 4)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := testSections(1 << 20)
+			conn, client := pipe(s, c.encrypted)
+			is.NoErr(feed(conn, client, c.text))
+			is.Equal(s.Budget.Used(), c.want)
+			conn.Enter(PhaseActive)
+			is.NoErr(feed(conn, client, "body\n"))
+			is.Equal(conn.Charged(), c.want)
+			conn.Enter(PhaseIdle)
+			is.Equal(s.Budget.Used(), int64(0))
+			is.NoErr(feed(conn, client, "GET /"))
+			is.Equal(s.Budget.Used() > 0, c.name != "HTTP/2")
+			is.NoErr(conn.Close())
+			_ = conn.Close()
+			is.Equal(s.Budget.Used(), int64(0))
+			is.Equal(s.reading.Len(), 0)
+		})
+	}
+}
+
+// Guards against an ordinary caller that is refused while clients hold the memory with unfinished header sections,
+// and against closing a connection that carries a request.
+func TestOldestHeaderSectionMakesRoom(t *testing.T) {
+	is := is.New(t)
+	s, reasons := testSections(SectionCost(20, 0) * 2)
+	text := strings.Repeat("a", 20)
+	active, c1 := pipe(s, false)
+	is.NoErr(feed(active, c1, text))
+	active.Enter(PhaseActive)
+	old, c2 := pipe(s, false)
+	is.NoErr(feed(old, c2, text))
+	ordinary, c3 := pipe(s, false)
+	is.NoErr(feed(ordinary, c3, text))
+	is.Equal(len(*reasons), 1)
+	_, err := old.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.True(errors.Is(feed(ordinary, c3, text), net.ErrClosed)) // it is the oldest itself now
+	is.NoErr(feed(active, c1, text))
+	is.Equal(active.Charged(), SectionCost(20, 0))
+}
+
+// Guards against a header section that net/http buffers beyond the limit.
+func TestHeaderSectionOverTheLimit(t *testing.T) {
+	is := is.New(t)
+	s, reasons := testSections(1 << 20)
+	c, client := pipe(s, false)
+	is.True(errors.Is(feed(c, client, strings.Repeat("a", 1001)), net.ErrClosed))
+	is.Equal(*reasons, []string{ReasonHeader})
+	is.Equal(s.Budget.Used(), int64(0))
+}
--- /dev/null
+++ b/internal/callers/section.go
@@ -0,0 +1,82 @@
+package callers
+
+import (
+	"container/list"
+	"net"
+	"sync"
+	"time"
+)
+
+// Sections bounds the memory of header sections while net/http reads them, before it stores a line. It answers clients
+// that send header sections without end, or of very many short lines, of which each costs far more memory than its
+// bytes.
+//
+// If a section does not fit, the oldest unfinished one is closed: that of an ordinary caller is complete within a few
+// milliseconds.
+type Sections struct {
+	// Budget is shared with what requests hold after their header section.
+	Budget *Budget
+	// MaxBytes returns the size in bytes above which a section is refused.
+	MaxBytes func() int64
+	// Refuse sends a refusal to a caller whose section is over MaxBytes.
+	Refuse func(net.Conn)
+	// OnClose is called for each connection that is closed, with the reason.
+	OnClose func(reason string)
+
+	mu      sync.Mutex
+	reading list.List // of *Conn with an unfinished section, oldest first
+}
+
+const (
+	// lineCost is the memory in bytes of a header line besides its bytes: net/http took 105 bytes for each of 10,500
+	// short lines of different names, and the header for the upstream is a copy.
+	lineCost = 256
+	// byteCost is the memory of a byte of the section: a growing buffer holds its contents twice.
+	byteCost = 2
+	// minLine is the shortest header line in bytes: a name of one letter, a colon and a line feed.
+	minLine = 3
+	// refusalTime bounds the time to send a refusal, and the wait for the caller to read it before the connection is
+	// closed. net/http waits as long.
+	refusalTime = 500 * time.Millisecond
+)
+
+// SectionCost returns the memory of a header section in bytes.
+func SectionCost(size, lines int64) int64 { return byteCost*size + lineCost*lines }
+
+// LargestSectionCost returns the memory of the most expensive header section of that size, in bytes.
+func LargestSectionCost(size int64) int64 { return SectionCost(size, size/minLine) }
+
+// admit reserves n more bytes for the unfinished section of c. If there is not so much left, it closes older sections,
+// or reports false if c is the oldest.
+func (s *Sections) admit(c *Conn, n int64) bool {
+	s.mu.Lock()
+	if c.reading == nil {
+		c.reading = s.reading.PushBack(c)
+	}
+	s.mu.Unlock()
+	for !s.Budget.Take(n) {
+		s.mu.Lock()
+		front := s.reading.Front()
+		s.mu.Unlock()
+		if front == nil {
+			return false
+		}
+		oldest := front.Value.(*Conn)
+		s.OnClose(ReasonMemory)
+		if oldest == c {
+			return false
+		}
+		_ = oldest.Close() // its reader sees the error
+	}
+	return true
+}
+
+// finish takes c out of the unfinished sections.
+func (s *Sections) finish(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.reading != nil {
+		s.reading.Remove(c.reading)
+		c.reading = nil
+	}
+}
--- a/internal/cli/gc.go
+++ b/internal/cli/gc.go
@@ -32,19 +32,20 @@
 	}
 }
 
-// memoryLimit returns the soft memory limit of the collector in bytes. With the memory of the machine set, it is three
-// eighths of it: garbage of clients' requests must not take what the kernel, the program's text and live memory need.
-// Records of requests are live for their whole window, so an instance that keeps them gets room for them, up to three
-// quarters; the collector would run without pause below its live memory.
+// memoryLimit returns the soft memory limit of the collector in bytes. With the memory of the machine set, it is a
+// quarter of it: with gcPercent, garbage of clients' requests would otherwise take what the kernel, the program's text
+// and live memory need. On the platform, platformGCPercent keeps garbage low already, and the limit is half of the
+// memory, since an instance that reads the store for others has more live memory. Records of requests are live for
+// their whole window, so an instance that keeps them gets room for them, up to three quarters; the collector would
+// run without pause below its live memory.
 func memoryLimit(cfg settings.Settings) int64 {
-	limit := 2*int64(cfg.Limits.RecordBytes) + gcHeadroom
+	limit, records := 2*int64(cfg.Limits.RecordBytes)+gcHeadroom, 2*int64(cfg.Limits.RecordBytes)
 	machine := int64(cfg.Limits.Memory)
-	if machine == 0 {
+	switch {
+	case machine == 0:
 		return limit
+	case cfg.Platform != nil:
+		return min(limit, machine/2)
 	}
-	share := machine * 3 / 8
-	if cfg.Platform == nil {
-		share = min(max(share, 2*int64(cfg.Limits.RecordBytes)), machine*3/4)
-	}
-	return min(limit, share)
+	return min(limit, max(machine/4, min(records, machine*3/4)))
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,6 +54,8 @@
 	metrics          *telemetry
 	deadlines        *deadlineHistory
 	guard            *callers.Guard
+	sections         *callers.Sections
+	budget           *callers.Budget
 
 	server        *http.Server
 	relayedServer *http.Server // serves streams relayed by entries outside the home regions
@@ -72,8 +74,8 @@
 )
 
 // headerSlack is the number of bytes by which a request header may exceed its limit
-// and still get a refusal with a body. Above that, net/http closes the connection
-// with a plain 431.
+// and net/http still reads it. On HTTP/2 it counts 32 bytes for each field besides its contents, so that a header of
+// many short fields inside the limit needs the slack. On HTTP/1.1, sectionSlack is the lower one.
 const headerSlack = 64 << 10
 
 // maxResponseHeader bounds the header of an upstream's response, in bytes.
@@ -100,6 +102,11 @@
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
 	e.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
 	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.metrics.closedConnections)
+	e.budget = callers.NewBudget(requestMemory(cfg.Limits))
+	e.sections = &callers.Sections{
+		Budget: e.budget, Refuse: e.refuseSection, OnClose: e.metrics.closedConnections,
+		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
+	}
 	idle := newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() })
 	e.server.ConnState = func(c net.Conn, s http.ConnState) {
 		idle.connState(c, s)
@@ -166,7 +173,7 @@
 }
 
 func (e *Entry) serveCallers(l net.Listener) error {
-	l = &callers.Listener{Listener: l, Guard: e.guard}
+	l = &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil}
 	if e.cfg.Callers.TLS == nil {
 		return e.server.Serve(l)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,8 +136,8 @@
 	MaxInstances int `json:"max_instances,omitempty"`
 	// Memory is the memory of the machine that the instance may use, with a unit. An eighth of it bounds what the
 	// header sections, kept bodies and buffered answers of all callers take together; beyond it, requests are
-	// refused with status 503 and unfinished header sections are closed. If set, three eighths are the soft limit of
-	// the garbage collector. Default: the memory of the system or of its control group.
+	// refused with status 503 and unfinished header sections are closed. If set, a quarter is the soft limit of the
+	// garbage collector, half on the platform, and more where records need it. Default: the memory of the system or of its control group.
 	Memory table.Size `json:"memory,omitempty"`
 	// Descriptors is the number of descriptors that the instance may open. Half of it, less a reserve of 200 or a
 	// quarter, bounds the connections of callers; beyond it, the oldest connection without a request is closed.
