entry: bound the memory of requests, bodies and answers together

Every request stayed inside its limits while all together did not: 15,000 HTTP/2 streams that waited for their bodies took 16 KiB each, and each connection could hold a frame and unread bodies of 1 MiB. A request now reserves its header section, what is kept of its body and its own cost from the budget, and gets 503 memory-in-use before anything of it is sent when it does not fit. Answers are buffered as far as memory is left. HTTP/2 frames are at most 16 KiB; with limits.memory set, streams and receive windows are in proportion to it. A header section that is refused before it was read has outcome unknown, since its method and identity are not known.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -279,17 +279,27 @@
 	x.e.ports.Intake.Stated(a.upstream, x.e.proto.Intake(a.resp.StatusCode, a.resp.Header))
 }
 
+// bufferStep is the number of bytes for which buffer reserves memory at once.
+const bufferStep = 32 << 10
+
 // buffer reads the start of the response to an idempotent request, if the protocol asks for it, so
-// that the request can still be retried if the upstream breaks off early.
+// that the request can still be retried if the upstream breaks off early. It stops when the memory of requests is in use.
 func (a *attempt) buffer() {
 	limit := a.x.e.proto.BufferResponse
 	if a.fail != failNone || limit == 0 || a.x.body != nil || !a.x.route.IsIdempotent(a.x.r.Method) {
 		return
 	}
 	var start bytes.Buffer
-	n, err := io.CopyN(&start, a.resp.Body, int64(limit))
+	var err error
+	for err == nil && start.Len() < limit {
+		step := min(limit-start.Len(), bufferStep)
+		if !a.x.reserveMore(2 * int64(step)) { // a growing buffer holds its contents twice
+			break
+		}
+		_, err = io.CopyN(&start, a.resp.Body, int64(step))
+	}
 	if err != nil && err != io.EOF {
-		a.bytesDown = n
+		a.bytesDown = int64(start.Len())
 		a.stop(failLost, err)
 		return
 	}
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/tls"
 	"io"
 	"net"
@@ -78,7 +79,7 @@
 // refuseSection refuses a header section that is larger than its limit.
 func (e *Entry) refuseSection(c net.Conn) {
 	f := refuseHeader(int64(e.limits().HeaderBytes))
-	f.Outcome = NotRun
+	f.Outcome = Unknown // method and identity are not known, and the request may repeat one that ran
 	w := &rawResponse{header: http.Header{}}
 	f.write(w, &e.proto)
 	e.metrics.refusals(f.Kind).Inc()
@@ -88,3 +89,72 @@
 	}
 	_ = resp.Write(c) // the connection is closed either way
 }
+
+// callerConnKey is the context key of a request's *callers.Conn.
+type callerConnKey struct{}
+
+// connContext is the ConnContext hook of the callers' server.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(countRequests(ctx, c), callerConnKey{}, callerConn(c))
+}
+
+// requestCost is the memory in bytes of a request besides its header section, body and answer: 15,000 HTTP/2 streams
+// that waited for their bodies took 16 KiB each.
+const requestCost = 16 << 10
+
+// reserve reserves the memory of the request, or refuses it. It answers many requests, each inside its limits, whose
+// headers and bodies together do not fit. That of the header section is reserved already on HTTP/1.1.
+func (x *exchange) reserve() *Refusal {
+	cost := callers.SectionCost(headerSize(x.r), headerLines(x.r))
+	if c, _ := x.r.Context().Value(callerConnKey{}).(*callers.Conn); c != nil {
+		cost = max(cost-c.Charged(), 0)
+	}
+	cost += requestCost
+	if hasBody(x.r) && !x.needsRelay {
+		cost += replayLimit + aheadSize
+		if n := x.r.ContentLength; n > 0 && n < replayLimit {
+			cost += n - replayLimit - aheadSize
+		}
+	}
+	if !x.e.budget.Take(cost) {
+		return refuseMemory()
+	}
+	x.reserved = cost
+	return nil
+}
+
+// reserveMore reserves memory beyond that of reserve and reports success.
+func (x *exchange) reserveMore(n int64) bool {
+	if !x.e.budget.Take(n) {
+		return false
+	}
+	x.reserved += n
+	return true
+}
+
+// releaseMemory returns what the request has reserved.
+func (x *exchange) releaseMemory() {
+	x.e.budget.Give(x.reserved)
+	x.reserved = 0
+}
+
+// http2Config bounds what one HTTP/2 connection holds. A frame is read into a buffer of its own size, which would be
+// up to 1 MiB for each connection. With limits.memory set, the buffers of unread bodies and the number of streams are
+// in proportion to it; a window of 136 KiB still allows 17 MB/s at a round trip of 8 ms.
+func http2Config(memory int64) *http.HTTP2Config {
+	c := &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: 16 << 10}
+	if memory > 0 {
+		c.MaxConcurrentStreams = int(min(max(memory>>20, minStreams), maxStreams))
+		window := int(min(max(memory>>10, minWindow), maxWindow))
+		c.MaxReceiveBufferPerConnection, c.MaxReceiveBufferPerStream = window, window
+	}
+	return c
+}
+
+const (
+	// minStreams is the number of concurrent requests on a connection that RFC 9113 recommends at least.
+	minStreams = 100
+	// minWindow and maxWindow bound the receive buffers of an HTTP/2 connection, in bytes.
+	minWindow = 64 << 10
+	maxWindow = 1 << 20
+)
--- /dev/null
+++ b/internal/entry/clients_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/callers"
+	"github.com/turmericsail/turmericsail/internal/settings"
+)
+
+// withBudget replaces the memory that all requests may take together.
+func withBudget(bytes int64) option {
+	return withEntry(func(e *Entry) {
+		e.budget = callers.NewBudget(bytes)
+		e.sections.Budget = e.budget
+	})
+}
+
+func withEntry(set func(*Entry)) option {
+	return func(_ *settings.Settings, _ *Ports, e *Entry) {
+		if e != nil {
+			set(e)
+		}
+	}
+}
+
+// Guards against requests that run although there is no memory for them, and against memory that is not returned.
+func TestRequestsShareMemory(t *testing.T) {
+	for _, c := range []struct {
+		name, method, body string
+		budget             int64
+		status             int
+	}{
+		{"enough", "GET", "", 64 << 10, 200},
+		{"none for the request", "GET", "", 8 << 10, 503},
+		{"enough for the body", "POST", strings.Repeat("a", 20<<10), 64 << 10, 200},
+		{"none for the body", "POST", strings.Repeat("a", 60<<10), 64 << 10, 503},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ran := false
+			h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran = true }))}, withBudget(c.budget))
+			for range 3 {
+				r := h.do(c.method, "/", strings.NewReader(c.body))
+				is.NoErr(r.err)
+				is.Equal(r.status, c.status)
+				if c.status == 503 {
+					is.Equal(r.outcome(), string(NotRun))
+					is.True(strings.Contains(r.body, "memory-in-use"))
+				}
+			}
+			is.Equal(ran, c.status == 200)
+			h.client.CloseIdleConnections()
+			until(t, func() bool { return h.entry.budget.Used() == 0 })
+		})
+	}
+}
+
+// Guards against an answer that is refused, or cut off, because there is no memory to buffer it.
+func TestAnswerIsServedWithoutMemoryToBufferIt(t *testing.T) {
+	for _, budget := range []int64{64 << 10, 256 << 10, 64 << 20} {
+		is := is.New(t)
+		proto := DefaultProtocol()
+		proto.BufferResponse = 1 << 20
+		answer := strings.Repeat("a", 3<<20)
+		h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(answer)) }))},
+			withBudget(budget), func(_ *settings.Settings, p *Ports, _ *Entry) {
+				if p != nil {
+					p.Protocol = &proto
+				}
+			})
+		r := h.do("GET", "/", nil)
+		is.NoErr(r.err)
+		is.True(r.body == answer)
+	}
+}
+
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the memory of requests is not returned")
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -100,7 +100,7 @@
 	e.server.Protocols.SetHTTP1(true)
 	e.server.Protocols.SetHTTP2(true)
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
-	e.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	e.server.HTTP2 = http2Config(int64(cfg.Limits.Memory))
 	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.metrics.closedConnections)
 	e.budget = callers.NewBudget(requestMemory(cfg.Limits))
 	e.sections = &callers.Sections{
@@ -112,7 +112,7 @@
 		idle.connState(c, s)
 		enterPhase(c, s)
 	}
-	e.server.ConnContext = countRequests
+	e.server.ConnContext = connContext
 	e.relayedServer = e.newServer(true)
 	return e
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -57,6 +57,8 @@
 	avoid             []string    // see Admission
 	suspect           bool        // see Admission
 
+	reserved int64 // memory of the entry's budget, in bytes
+
 	identity      string
 	ticket        Ticket
 	claimReleased bool // the claim was granted to this exchange and released
@@ -118,6 +120,7 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	defer x.forbid1xx() // a connection to an upstream may outlast the request
+	defer x.releaseMemory()
 	defer x.recoverServe()
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -204,9 +207,12 @@
 	return nil
 }
 
-// admit checks the deadline and the declared body length, reads the call depth, opens the body and
+// admit reserves memory, checks the deadline and the declared body length, reads the call depth, opens the body and
 // starts the watchdog timer.
 func (x *exchange) admit() *Refusal {
+	if refusal := x.reserve(); refusal != nil {
+		return refusal
+	}
 	limit := x.route.Deadline.Std()
 	if v := x.r.Header.Get(x.e.proto.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
--- a/internal/entry/headers.go
+++ b/internal/entry/headers.go
@@ -181,3 +181,12 @@
 	}
 	return int64(n)
 }
+
+// headerLines returns the number of header lines as received, without continuation lines.
+func headerLines(r *http.Request) int64 {
+	n := 2 // the request line and Host
+	for _, values := range r.Header {
+		n += len(values)
+	}
+	return int64(n)
+}
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -28,9 +28,14 @@
 	return sum
 }
 
+// hasBody reports whether the request may have a body.
+func hasBody(r *http.Request) bool {
+	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+}
+
 // openBody makes the body readable for attempts; keep bounds the bytes kept for another attempt.
 func (x *exchange) openBody(keep int) {
-	if x.r.Body == nil || x.r.Body == http.NoBody || x.r.ContentLength == 0 {
+	if !hasBody(x.r) {
 		return
 	}
 	if n := x.r.ContentLength; n > 0 && n < int64(keep) {
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -105,6 +105,11 @@
 	return &Refusal{Status: 504, Kind: "deadline-exceeded", Message: "no answer began before the deadline", Remedy: "allow more time, or try again", RetryAfter: defaultRetryAfter}
 }
 
+// refuseMemory returns the refusal of a request for which the budget of memory has no room.
+func refuseMemory() *Refusal {
+	return &Refusal{Status: 503, Kind: "memory-in-use", Message: "the instance has no memory for the request now", Remedy: "try again with a delay, or add instances", RetryAfter: defaultRetryAfter}
+}
+
 func refuseOutsideHome() *Refusal {
 	return &Refusal{Status: 421, Kind: "outside-home-regions", Message: "no entry inside the home regions of the request can be reached", Remedy: "send the request to an entry inside its home regions, or try again", RetryAfter: defaultRetryAfter}
 }
