entry: apply the operators' header timeout

The platform's header_timeout was read and not applied: only the instance's own, 5 s, ended a header section. The connection wrapper now sets the deadline in force when the first byte of a header section arrives; a connection that waits for its first byte keeps net/http's. Encrypted connections keep the instance's own timeout, since their first bytes are those of the handshake.

TestOperatorsHeaderTimeout fails without the limit (i/o timeout after 5 s) and passes with it.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -51,6 +51,9 @@
 	lines     int64
 	charged   int64
 	closed    bool
+
+	deadline   time.Time // set by net/http
+	sectionEnd time.Time // of the header section; zero before its first byte
 }
 
 var _ net.Conn = (*Conn)(nil)
@@ -87,6 +90,9 @@
 	if c.http2(p) {
 		return -c.charged, false
 	}
+	if c.size == 0 {
+		c.startTimeout()
+	}
 	c.size += int64(len(p))
 	limit := c.sections.MaxBytes()
 	if c.encrypted {
@@ -114,7 +120,7 @@
 	if c.prefaced += n; c.prefaced < len(http2Preface) {
 		return false
 	}
-	c.inSection = false
+	c.inSection, c.sectionEnd = false, time.Time{}
 	return true
 }
 
@@ -170,11 +176,37 @@
 	}
 }
 
+// SetReadDeadline implements net.Conn. A header section that has begun keeps its own deadline.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.Conn.SetReadDeadline(c.earliest())
+}
+
+// earliest returns the deadline that net/http has set, or that of the header section if it is earlier.
+func (c *Conn) earliest() time.Time {
+	if c.deadline.IsZero() || c.sectionEnd.IsZero() || c.deadline.Before(c.sectionEnd) {
+		return c.deadline
+	}
+	return c.sectionEnd
+}
+
+// startTimeout sets the deadline of a header section whose first bytes have arrived. The timeout of http.Server is fixed
+// at the start, while operators can change it.
+func (c *Conn) startTimeout() {
+	if timeout := c.sections.Timeout(); timeout > 0 && !c.encrypted {
+		c.sectionEnd = time.Now().Add(timeout)
+		_ = c.Conn.SetReadDeadline(c.earliest()) // fails only on a closed connection, whose next read fails, too
+	}
+}
+
 // setInSection starts or ends a header section. A connection of HTTP/2 has none.
 func (c *Conn) setInSection(v bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inSection = v && c.prefaced < len(http2Preface)
+	c.sectionEnd = time.Time{}
 }
 
 // Charged returns the memory that is reserved for the header section of the request that the connection carries.
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -4,8 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -22,7 +24,7 @@
 func testSections(budget int64) (*Sections, *[]string) {
 	var reasons []string
 	return &Sections{
-		Budget: NewBudget(budget), MaxBytes: func() int64 { return 1000 }, Refuse: func(net.Conn) {},
+		Budget: NewBudget(budget), MaxBytes: func() int64 { return 1000 }, Refuse: func(net.Conn) {}, Timeout: func() time.Duration { return time.Minute },
 		OnClose: func(reason string) { reasons = append(reasons, reason) },
 	}, &reasons
 }
@@ -98,3 +100,49 @@
 	is.Equal(*reasons, []string{ReasonHeader})
 	is.Equal(s.Budget.Used(), int64(0))
 }
+
+// Guards against a header timeout of the operator that is not applied, and against one that ends idle connections.
+func TestHeaderTimeoutInForce(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\n\r\n"
+	for _, c := range []struct {
+		name  string
+		start func(c *Conn, client net.Conn) error
+		ends  bool
+	}{
+		{"new connection", func(*Conn, net.Conn) error { return nil }, false},
+		{"first request", func(c *Conn, client net.Conn) error { return feed(c, client, "G") }, true},
+		{"body", func(c *Conn, client net.Conn) error {
+			err := feed(c, client, request)
+			c.Enter(PhaseActive)
+			return err
+		}, false},
+		{"idle connection", func(c *Conn, client net.Conn) error {
+			err := feed(c, client, request)
+			c.Enter(PhaseActive)
+			c.Enter(PhaseIdle)
+			return err
+		}, false},
+		{"next request", func(c *Conn, client net.Conn) error {
+			err := feed(c, client, request)
+			c.Enter(PhaseActive)
+			c.Enter(PhaseIdle)
+			return errors.Join(err, feed(c, client, "G"))
+		}, true},
+		{"HTTP/2", func(c *Conn, client net.Conn) error {
+			return errors.Join(feed(c, client, http2Preface[:9]), feed(c, client, http2Preface[9:]))
+		}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := testSections(1 << 20)
+			s.Timeout = func() time.Duration { return 50 * time.Millisecond }
+			conn, client := pipe(s, false)
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute)))
+			is.NoErr(c.start(conn, client))
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(time.Minute)))
+			time.AfterFunc(200*time.Millisecond, func() { _, _ = io.WriteString(client, "ET") })
+			_, err := conn.Read(make([]byte, 2))
+			is.Equal(errors.Is(err, os.ErrDeadlineExceeded), c.ends)
+		})
+	}
+}
--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -18,6 +18,8 @@
 	Budget *Budget
 	// MaxBytes returns the size in bytes above which a section is refused.
 	MaxBytes func() int64
+	// Timeout returns the time to receive a section; zero means that net/http's own applies.
+	Timeout func() time.Duration
 	// Refuse sends a refusal to a caller whose section is over MaxBytes.
 	Refuse func(net.Conn)
 	// OnClose is called for each connection that is closed, with the reason.
--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,7 +11,9 @@
 	"github.com/matryer/is"
 
 	"github.com/turmericsail/turmericsail/internal/callers"
+	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // withBudget replaces the memory that all requests may take together.
@@ -87,3 +91,19 @@
 		}
 	}
 }
+
+// Guards against a header timeout of the operators that is read and not applied.
+func TestOperatorsHeaderTimeout(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.NotFoundHandler())},
+		withSettings(func(s *settings.Settings) { s.Limits.HeaderTimeout = table.Duration(time.Minute) }))
+	h.tables.current.Store(&control.Snapshot{Tables: h.tables.Snapshot().Tables, Limits: settings.Limits{HeaderTimeout: table.Duration(50 * time.Millisecond)}})
+	conn, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n")
+	is.NoErr(err)
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	_, err = io.ReadAll(conn)
+	is.NoErr(err) // the entry must close the connection
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,6 +106,7 @@
 	e.sections = &callers.Sections{
 		Budget: e.budget, Refuse: e.refuseSection, OnClose: e.metrics.closedConnections,
 		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
+		Timeout:  func() time.Duration { return e.limits().HeaderTimeout.Std() },
 	}
 	idle := newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() })
 	e.server.ConnState = func(c net.Conn, s http.ConnState) {
@@ -127,6 +128,9 @@
 	if set.BodyBytes > 0 {
 		own.BodyBytes = min(own.BodyBytes, set.BodyBytes)
 	}
+	if set.HeaderTimeout > 0 {
+		own.HeaderTimeout = min(own.HeaderTimeout, set.HeaderTimeout)
+	}
 	if set.IdleTimeout > 0 {
 		own.IdleTimeout = min(own.IdleTimeout, set.IdleTimeout)
 	}
