entry: close connections of callers that read nothing

net/http sends the end of a response after the handler has returned, where no timer runs: a caller that sends requests and reads nothing held its connection without end, and as one with a request it is never closed for a newcomer. The end of a response now has the same 15 s as every part of it. An HTTP/2 connection that takes no byte for 15 s is closed.

TestCallersThatReadNothingAreClosed fails without the deadline (the connection is open after 20 s) and passes with it.

--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -139,10 +139,10 @@
 }
 
 // http2Config bounds what one HTTP/2 connection holds. A frame is read into a buffer of its own size, which would be
-// up to 1 MiB for each connection. With limits.memory set, the buffers of unread bodies and the number of streams are
+// up to 1 MiB for each connection. A connection whose caller reads nothing is closed. With limits.memory set, the buffers of unread bodies and the number of streams are
 // in proportion to it; a window of 136 KiB still allows 17 MB/s at a round trip of 8 ms.
 func http2Config(memory int64) *http.HTTP2Config {
-	c := &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: 16 << 10}
+	c := &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: 16 << 10, WriteByteTimeout: defaultTiming.responseStall}
 	if memory > 0 {
 		c.MaxConcurrentStreams = int(min(max(memory>>20, minStreams), maxStreams))
 		window := int(min(max(memory>>10, minWindow), maxWindow))
--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -107,3 +109,21 @@
 	_, err = io.ReadAll(conn)
 	is.NoErr(err) // the entry must close the connection
 }
+
+// Guards against callers that send requests, read no response, and keep their connections without end: the end of
+// a response is sent after the handler has returned, where no timer of the exchange runs.
+func TestCallersThatReadNothingAreClosed(t *testing.T) {
+	is := is.New(t)
+	answer := strings.Repeat("a", 2000) // short enough to be sent as a whole after the handler has returned
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) }))},
+		withTiming(func(x *timing) { x.responseStall = 100 * time.Millisecond }))
+	conn, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(4096))
+	is.NoErr(conn.SetWriteDeadline(time.Now().Add(20 * time.Second)))
+	for requests := strings.Repeat("GET / HTTP/1.1\r\nHost: x\r\n\r\n", 100); err == nil; {
+		_, err = io.WriteString(conn, requests)
+	}
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the entry must close the connection
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -133,6 +133,9 @@
 	if x.report.aborted {
 		panic(http.ErrAbortHandler)
 	}
+	// net/http sends the end of the response after this, without a deadline of its own: a caller that reads nothing would
+	// hold its connection without end. It removes the deadline before the next request.
+	_ = x.control.SetWriteDeadline(time.Now().Add(x.e.timing.responseStall))
 }
 
 // run processes the request. It returns a refusal unless it has sent a response to the caller.
