entry, admin: show how near the limits of callers are

The bounds on connections and memory could not be seen before they were reached. status has both with their limits under callers, as do four gauges; closed connections are counted by reason and logged at debug level.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 
+	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/internal/schema"
 	"github.com/turmericsail/turmericsail/internal/settings"
 )
@@ -24,6 +25,20 @@
 	leaving atomic.Bool
 	ready   func() bool
 	status  func() any
+	callers atomic.Pointer[func() callers.Use]
+}
+
+// SetCallers sets the source of how near the instance is to the limits of its callers. Until then, status omits it.
+func (s *Server) SetCallers(use func() callers.Use) { s.callers.Store(&use) }
+
+// Callers returns how near the instance is to the limits of its callers, or nil if it is not known.
+func (s *Server) Callers() *callers.Use {
+	use := s.callers.Load()
+	if use == nil {
+		return nil
+	}
+	u := (*use)()
+	return &u
 }
 
 // New returns a server. ready reports whether the instance can serve requests; status returns the body of /status.
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/table"
@@ -36,6 +37,8 @@
 	MissingPools table.Problems `json:"missing_pools"`
 	// RowsRefused lists the rows that are not in force because they are invalid.
 	RowsRefused table.Problems `json:"rows_refused"`
+	// Callers is how near the instance is to the limits of all its callers together.
+	Callers *callers.Use `json:"callers,omitempty"`
 }
 
 // UpstreamStatus is the state of an upstream as observed by one instance.
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -164,6 +164,16 @@
 	return g.open, g.limit
 }
 
+// Use is how near an instance is to the limits of all its callers together.
+type Use struct {
+	// Connections is the number of open connections of callers.
+	Connections     int `json:"connections"`
+	ConnectionLimit int `json:"connection_limit"`
+	// MemoryBytes is the memory that header sections, kept bodies and buffered answers have reserved.
+	MemoryBytes      int64 `json:"memory_bytes"`
+	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
+}
+
 // AddressOf returns the address of a connection's other side without its port.
 func AddressOf(c net.Conn) string {
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -141,7 +141,9 @@
 		return l.stateOf(pool, u), l.inFlightAt(pool, u.ID)
 	}
 	o.Server = admin.New(o.cfg.Admin, ready, func() any {
-		return admin.StatusOf(o.cfg, loop.Snapshot(), o.Leaving(), observe)
+		status := admin.StatusOf(o.cfg, loop.Snapshot(), o.Leaving(), observe)
+		status.Callers = o.Callers()
+		return status
 	})
 	return nil
 }
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -91,8 +91,11 @@
 	if l.admin, err = kernel.Lookup[*adminServer](k, AdminHTTP); err != nil {
 		return err
 	}
-	l.entry, err = kernel.Lookup[*entryServer](k, EntryHTTP)
-	return err
+	if l.entry, err = kernel.Lookup[*entryServer](k, EntryHTTP); err != nil {
+		return err
+	}
+	l.admin.SetCallers(l.entry.CallerUse)
+	return nil
 }
 
 // Shutdown implements kernel.Stopper.
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -4,10 +4,13 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/internal/settings"
 )
@@ -44,6 +47,13 @@
 	}
 }
 
+// connectionClosed counts a connection that was closed because of a limit of all callers together. It is logged at debug
+// level, since clients decide how often it happens.
+func (e *Entry) connectionClosed(reason string) {
+	e.metrics.closedConnections(reason)
+	e.log.V(1).Info("connection of a caller closed", "reason", reason)
+}
+
 // sectionSlack is the number of bytes by which a header section of HTTP/1.1 may exceed its limit and still be read to its
 // end, so that the caller gets the refusal after it has sent everything. Beyond it, the refusal is sent at once.
 const sectionSlack = 16 << 10
@@ -90,6 +100,25 @@
 	_ = resp.Write(c) // the connection is closed either way
 }
 
+// CallerUse returns how near the instance is to the limits of all its callers together.
+func (e *Entry) CallerUse() callers.Use {
+	u := callers.Use{MemoryBytes: e.budget.Used(), MemoryLimitBytes: e.budget.Limit()}
+	u.Connections, u.ConnectionLimit = e.guard.Connections()
+	return u
+}
+
+// registerGauges publishes CallerUse as metrics.
+func (e *Entry) registerGauges() {
+	for name, value := range map[string]func(callers.Use) float64{
+		"turmericsail_caller_connections":        func(u callers.Use) float64 { return float64(u.Connections) },
+		"turmericsail_caller_connections_limit":  func(u callers.Use) float64 { return float64(u.ConnectionLimit) },
+		"turmericsail_caller_memory_bytes":       func(u callers.Use) float64 { return float64(u.MemoryBytes) },
+		"turmericsail_caller_memory_bytes_limit": func(u callers.Use) float64 { return float64(u.MemoryLimitBytes) },
+	} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("%s{instance=%q}", name, e.cfg.Instance), func() float64 { return value(e.CallerUse()) })
+	}
+}
+
 // callerConnKey is the context key of a request's *callers.Conn.
 type callerConnKey struct{}
 
--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -61,7 +61,7 @@
 			}
 			is.Equal(ran, c.status == 200)
 			h.client.CloseIdleConnections()
-			until(t, func() bool { return h.entry.budget.Used() == 0 })
+			until(t, func() bool { u := h.entry.CallerUse(); return u.MemoryBytes == 0 && u.Connections == 0 })
 		})
 	}
 }
@@ -89,7 +89,7 @@
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatal("the memory of requests is not returned")
+			t.Fatal("the memory of requests, or their connections, are not returned")
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,10 +101,10 @@
 	e.server.Protocols.SetHTTP2(true)
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
 	e.server.HTTP2 = http2Config(int64(cfg.Limits.Memory))
-	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.metrics.closedConnections)
+	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.connectionClosed)
 	e.budget = callers.NewBudget(requestMemory(cfg.Limits))
 	e.sections = &callers.Sections{
-		Budget: e.budget, Refuse: e.refuseSection, OnClose: e.metrics.closedConnections,
+		Budget: e.budget, Refuse: e.refuseSection, OnClose: e.connectionClosed,
 		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
 		Timeout:  func() time.Duration { return e.limits().HeaderTimeout.Std() },
 	}
@@ -115,6 +115,7 @@
 	}
 	e.server.ConnContext = connContext
 	e.relayedServer = e.newServer(true)
+	e.registerGauges()
 	return e
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/turmericsail/turmericsail/internal/admin"
+	"github.com/turmericsail/turmericsail/internal/callers"
+	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/pkg/fault"
@@ -149,6 +151,13 @@
 	}
 }
 
+// platformStatus is the body of /status.
+type platformStatus struct {
+	*control.Snapshot
+	// Callers is how near the instance is to the limits of all its callers together.
+	Callers *callers.Use
+}
+
 // adminService is the admin listener, on which the platform also checks readiness.
 type adminService struct {
 	*admin.Server
@@ -166,7 +175,7 @@
 	if err != nil {
 		return err
 	}
-	o.Server = admin.New(o.cfg.Admin, followed.Ready, func() any { return followed.Snapshot() })
+	o.Server = admin.New(o.cfg.Admin, followed.Ready, func() any { return platformStatus{followed.Snapshot(), o.Callers()} })
 	return nil
 }
 
@@ -190,8 +199,11 @@
 	if l.admin, err = kernel.Lookup[*adminService](k, AdminHTTP); err != nil {
 		return err
 	}
-	l.entry, err = kernel.Lookup[*entryService](k, EntryHTTP)
-	return err
+	if l.entry, err = kernel.Lookup[*entryService](k, EntryHTTP); err != nil {
+		return err
+	}
+	l.admin.SetCallers(l.entry.CallerUse)
+	return nil
 }
 
 // Shutdown implements kernel.Stopper.
