callers: a request on a kept connection allocates nothing for the bounds

Each request left and entered two lists, which cost about 1.5 allocations. The places of a connection are now part of it.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"container/list"
 	"net"
 	"sync"
 	"time"
@@ -42,7 +41,7 @@
 	member    *Member
 	sections  *Sections
 	encrypted bool
-	reading   *list.Element // guarded by the mutex of sections
+	reading   node[*Conn] // guarded by the mutex of sections
 
 	mu        sync.Mutex
 	inSection bool
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -65,7 +65,7 @@
 			is.NoErr(conn.Close())
 			_ = conn.Close()
 			is.Equal(s.Budget.Used(), int64(0))
-			is.Equal(s.reading.Len(), 0)
+			is.Equal(s.reading.length, 0)
 		})
 	}
 }
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -1,7 +1,6 @@
 package callers
 
 import (
-	"container/list"
 	"net"
 	"sync"
 )
@@ -29,15 +28,21 @@
 	limit   int
 	onEvict func(reason string)
 
-	mu      sync.Mutex
+	mu     sync.Mutex
+	open   int
+	groups map[string]*group // by address
+}
+
+// group is the connections of one address.
+type group struct {
 	open    int
-	useless [phases]map[string]*list.List // by address, oldest first; none for PhaseActive
+	useless [phases]queue[*Member] // those without a request; none in PhaseActive
 }
 
 // NewGuard returns a guard of at most limit connections. onEvict is called for each connection that it closes, with the
 // reason.
 func NewGuard(limit int, onEvict func(reason string)) *Guard {
-	return &Guard{limit: limit, onEvict: onEvict, useless: [phases]map[string]*list.List{PhaseNew: {}, PhaseIdle: {}}}
+	return &Guard{limit: limit, onEvict: onEvict, groups: map[string]*group{}}
 }
 
 // Member is a connection as the guard sees it.
@@ -46,9 +51,10 @@
 	address string
 	close   func()
 
-	phase   Phase
-	element *list.Element // in the list of its phase and address; nil for PhaseActive
-	left    bool
+	group *group
+	phase Phase
+	place node[*Member]
+	left  bool
 }
 
 // Reasons for closing a connection.
@@ -76,9 +82,15 @@
 		}
 		g.remove(victim)
 	}
-	m := &Member{guard: g, address: address, close: close}
+	m := &Member{guard: g, address: address, close: close, group: g.groups[address]}
+	m.place.owner = m
+	if m.group == nil {
+		m.group = &group{}
+		g.groups[address] = m.group
+	}
 	g.open++
-	g.insert(m)
+	m.group.open++
+	m.insert()
 	g.mu.Unlock()
 	if victim != nil {
 		g.onEvict(ReasonReplaced)
@@ -90,50 +102,35 @@
 // oldest returns the connection that is closed next, or nil if all carry requests.
 func (g *Guard) oldest() *Member {
 	for _, phase := range []Phase{PhaseNew, PhaseIdle} {
-		var most *list.List
-		for _, l := range g.useless[phase] {
-			if most == nil || l.Len() > most.Len() {
-				most = l
+		var most *queue[*Member]
+		for _, at := range g.groups {
+			if q := &at.useless[phase]; q.length > 0 && (most == nil || q.length > most.length) {
+				most = q
 			}
 		}
 		if most != nil {
-			return most.Front().Value.(*Member)
+			return most.first.owner
 		}
 	}
 	return nil
 }
 
-// insert adds the member to the list of its phase.
-func (g *Guard) insert(m *Member) {
-	if m.phase == PhaseActive {
-		return
-	}
-	l := g.useless[m.phase][m.address]
-	if l == nil {
-		l = list.New()
-		g.useless[m.phase][m.address] = l
+// insert adds the member to the queue of its phase.
+func (m *Member) insert() {
+	if m.phase != PhaseActive {
+		m.group.useless[m.phase].push(&m.place)
 	}
-	m.element = l.PushBack(m)
 }
 
-// unlist takes the member out of the list of its phase.
-func (g *Guard) unlist(m *Member) {
-	if m.element == nil {
+func (g *Guard) remove(m *Member) {
+	if m.left {
 		return
 	}
-	l := g.useless[m.phase][m.address]
-	l.Remove(m.element)
-	m.element = nil
-	if l.Len() == 0 {
-		delete(g.useless[m.phase], m.address)
-	}
-}
-
-func (g *Guard) remove(m *Member) {
-	if !m.left {
-		m.left = true
-		g.unlist(m)
-		g.open--
+	m.left = true
+	m.place.leave()
+	g.open--
+	if m.group.open--; m.group.open == 0 {
+		delete(g.groups, m.address)
 	}
 }
 
@@ -145,9 +142,9 @@
 	if m.left || m.phase == p {
 		return
 	}
-	g.unlist(m)
+	m.place.leave()
 	m.phase = p
-	g.insert(m)
+	m.insert()
 }
 
 // Leave records that the connection is closed.
--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -1,7 +1,6 @@
 package callers
 
 import (
-	"container/list"
 	"net"
 	"sync"
 	"time"
@@ -26,7 +25,7 @@
 	OnClose func(reason string)
 
 	mu      sync.Mutex
-	reading list.List // of *Conn with an unfinished section, oldest first
+	reading queue[*Conn] // those with an unfinished section
 }
 
 const (
@@ -52,18 +51,19 @@
 // or reports false if c is the oldest.
 func (s *Sections) admit(c *Conn, n int64) bool {
 	s.mu.Lock()
-	if c.reading == nil {
-		c.reading = s.reading.PushBack(c)
+	if c.reading.in == nil {
+		c.reading.owner = c
+		s.reading.push(&c.reading)
 	}
 	s.mu.Unlock()
 	for !s.Budget.Take(n) {
 		s.mu.Lock()
-		front := s.reading.Front()
+		front := s.reading.first
 		s.mu.Unlock()
 		if front == nil {
 			return false
 		}
-		oldest := front.Value.(*Conn)
+		oldest := front.owner
 		s.OnClose(ReasonMemory)
 		if oldest == c {
 			return false
@@ -77,8 +77,5 @@
 func (s *Sections) finish(c *Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.reading != nil {
-		s.reading.Remove(c.reading)
-		c.reading = nil
-	}
+	c.reading.leave()
 }
