--- /dev/null
+++ b/internal/callers/guard.go
@@ -0,0 +1,180 @@
+package callers
+
+import (
+	"net"
+	"sync"
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+const (
+	// PhaseNew is a connection that has not carried a request yet.
+	PhaseNew Phase = iota
+	// PhaseActive is a connection that carries a request.
+	PhaseActive
+	// PhaseIdle is a connection that has carried a request and carries none now.
+	PhaseIdle
+	phases
+)
+
+// Guard bounds the number of connections. When it is reached, a new connection takes the place of the oldest one that
+// carries no request. It answers clients that open connections and leave them.
+//
+// A connection that has never carried a request goes before an idle one, and one at the address with most such
+// connections goes first. An address has no limit of its own, because thousands of callers may share the one of a
+// balancer.
+type Guard struct {
+	limit   int
+	onEvict func(reason string)
+
+	mu     sync.Mutex
+	open   int
+	groups map[string]*group // by address
+}
+
+// group is the connections of one address.
+type group struct {
+	open    int
+	useless [phases]queue[*Member] // those without a request; none in PhaseActive
+}
+
+// NewGuard returns a guard of at most limit connections. onEvict is called for each connection that it closes, with the
+// reason.
+func NewGuard(limit int, onEvict func(reason string)) *Guard {
+	return &Guard{limit: limit, onEvict: onEvict, groups: map[string]*group{}}
+}
+
+// Member is a connection as the guard sees it.
+type Member struct {
+	guard   *Guard
+	address string
+	close   func()
+
+	group *group
+	phase Phase
+	place node[*Member]
+	left  bool
+}
+
+// Reasons for closing a connection.
+const (
+	// ReasonReplaced is a connection without a request that gave its place to a new one.
+	ReasonReplaced = "replaced"
+	// ReasonFull is a new connection while all others carry requests.
+	ReasonFull = "full"
+	// ReasonMemory is an unfinished header section while the memory of requests is in use.
+	ReasonMemory = "memory"
+	// ReasonHeader is a header section over the limit.
+	ReasonHeader = "header"
+)
+
+// Join adds a connection, or returns nil if it must be closed. close closes another connection later, and may call
+// Leave.
+func (g *Guard) Join(address string, close func()) *Member {
+	g.mu.Lock()
+	var victim *Member
+	if g.open >= g.limit {
+		if victim = g.oldest(); victim == nil {
+			g.mu.Unlock()
+			g.onEvict(ReasonFull)
+			return nil
+		}
+		g.remove(victim)
+	}
+	m := &Member{guard: g, address: address, close: close, group: g.groups[address]}
+	m.place.owner = m
+	if m.group == nil {
+		m.group = &group{}
+		g.groups[address] = m.group
+	}
+	g.open++
+	m.group.open++
+	m.insert()
+	g.mu.Unlock()
+	if victim != nil {
+		g.onEvict(ReasonReplaced)
+		victim.close()
+	}
+	return m
+}
+
+// oldest returns the connection that is closed next, or nil if all carry requests.
+func (g *Guard) oldest() *Member {
+	for _, phase := range []Phase{PhaseNew, PhaseIdle} {
+		var most *queue[*Member]
+		for _, at := range g.groups {
+			if q := &at.useless[phase]; q.length > 0 && (most == nil || q.length > most.length) {
+				most = q
+			}
+		}
+		if most != nil {
+			return most.first.owner
+		}
+	}
+	return nil
+}
+
+// insert adds the member to the queue of its phase.
+func (m *Member) insert() {
+	if m.phase != PhaseActive {
+		m.group.useless[m.phase].push(&m.place)
+	}
+}
+
+func (g *Guard) remove(m *Member) {
+	if m.left {
+		return
+	}
+	m.left = true
+	m.place.leave()
+	g.open--
+	if m.group.open--; m.group.open == 0 {
+		delete(g.groups, m.address)
+	}
+}
+
+// Enter records the phase of the connection.
+func (m *Member) Enter(p Phase) {
+	g := m.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.left || m.phase == p {
+		return
+	}
+	m.place.leave()
+	m.phase = p
+	m.insert()
+}
+
+// Leave records that the connection is closed.
+func (m *Member) Leave() {
+	m.guard.mu.Lock()
+	defer m.guard.mu.Unlock()
+	m.guard.remove(m)
+}
+
+// Connections returns the number of open connections and the limit.
+func (g *Guard) Connections() (open, limit int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.open, g.limit
+}
+
+// Use is how near an instance is to the limits of all its callers together.
+type Use struct {
+	// Connections is the number of open connections of callers.
+	Connections     int `json:"connections"`
+	ConnectionLimit int `json:"connection_limit"`
+	// MemoryBytes is the memory that header sections, kept bodies and buffered answers have reserved.
+	MemoryBytes      int64 `json:"memory_bytes"`
+	MemoryLimitBytes int64 `json:"memory_limit_bytes"`
+}
+
+// AddressOf returns the address of a connection's other side without its port.
+func AddressOf(c net.Conn) string {
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		return a.IP.String()
+	}
+	return ""
+}
--- a/internal/cli/gc.go
+++ b/internal/cli/gc.go
@@ -28,6 +28,24 @@
 		debug.SetGCPercent(percent)
 	}
 	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(2*int64(cfg.Limits.RecordBytes) + gcHeadroom)
+		debug.SetMemoryLimit(memoryLimit(cfg))
 	}
 }
+
+// memoryLimit returns the soft memory limit of the collector in bytes. With the memory of the machine set, it is a
+// quarter of it: with gcPercent, garbage of clients' requests would otherwise take what the kernel, the program's text
+// and live memory need. On the platform, platformGCPercent keeps garbage low already, and the limit is half of the
+// memory, since an instance that reads the store for others has more live memory. Records of requests are live for
+// their whole window, so an instance that keeps them gets room for them, up to three quarters; the collector would
+// run without pause below its live memory.
+func memoryLimit(cfg settings.Settings) int64 {
+	limit, records := 2*int64(cfg.Limits.RecordBytes)+gcHeadroom, 2*int64(cfg.Limits.RecordBytes)
+	machine := int64(cfg.Limits.Memory)
+	switch {
+	case machine == 0:
+		return limit
+	case cfg.Platform != nil:
+		return min(limit, machine/2)
+	}
+	return min(limit, max(machine/4, min(records, machine*3/4)))
+}
--- /dev/null
+++ b/internal/entry/clients.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/turmericsail/turmericsail/internal/callers"
+	"github.com/turmericsail/turmericsail/internal/settings"
+)
+
+// descriptors returns the number of descriptors that the instance may open.
+func descriptors(limits settings.Limits) int {
+	own := callers.SystemDescriptors()
+	if limits.Descriptors > 0 {
+		own = min(own, limits.Descriptors)
+	}
+	return own
+}
+
+// callerConn returns the connection that the guard admitted, or nil.
+func callerConn(c net.Conn) *callers.Conn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	conn, _ := c.(*callers.Conn)
+	return conn
+}
+
+// enterPhase tells the guard what a connection is doing; it is a ConnState hook of http.Server.
+func enterPhase(c net.Conn, s http.ConnState) {
+	conn := callerConn(c)
+	if conn == nil {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		conn.Enter(callers.PhaseActive)
+	case http.StateIdle:
+		conn.Enter(callers.PhaseIdle)
+	}
+}
+
+// connectionClosed counts a connection that was closed because of a limit of all callers together. It is logged at debug
+// level, since clients decide how often it happens.
+func (e *Entry) connectionClosed(reason string) {
+	e.metrics.closedConnections(reason)
+	e.log.V(1).Info("connection of a caller closed", "reason", reason)
+}
+
+// sectionSlack is the number of bytes by which a header section of HTTP/1.1 may exceed its limit and still be read to its
+// end, so that the caller gets the refusal after it has sent everything. Beyond it, the refusal is sent at once.
+const sectionSlack = 16 << 10
+
+// requestMemory returns the memory in bytes that all requests may take together. It has room for two of the most
+// expensive header sections inside the limit, so that a single request is served on any machine.
+func requestMemory(limits settings.Limits) int64 {
+	memory := int64(limits.Memory)
+	if memory == 0 {
+		memory = callers.SystemMemory()
+	}
+	return max(callers.MemoryBudget(memory), 2*callers.LargestSectionCost(int64(limits.HeaderBytes)))
+}
+
+// rawResponse collects the refusal of a header section that net/http has not read to its end.
+type rawResponse struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+var _ http.ResponseWriter = (*rawResponse)(nil)
+
+// Header implements http.ResponseWriter.
+func (w *rawResponse) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *rawResponse) WriteHeader(status int) { w.status = status }
+
+// Write implements http.ResponseWriter.
+func (w *rawResponse) Write(p []byte) (int, error) { return w.body.Write(p) }
+
+// refuseSection refuses a header section that is larger than its limit.
+func (e *Entry) refuseSection(c net.Conn) {
+	f := refuseHeader(int64(e.limits().HeaderBytes))
+	f.Outcome = Unknown // method and identity are not known, and the request may repeat one that ran
+	w := &rawResponse{header: http.Header{}}
+	f.write(w, &e.proto)
+	e.metrics.refusals(f.Kind).Inc()
+	resp := http.Response{
+		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true,
+		ContentLength: int64(w.body.Len()), Body: io.NopCloser(&w.body),
+	}
+	_ = resp.Write(c) // the connection is closed either way
+}
+
+// CallerUse returns how near the instance is to the limits of all its callers together.
+func (e *Entry) CallerUse() callers.Use {
+	u := callers.Use{MemoryBytes: e.budget.Used(), MemoryLimitBytes: e.budget.Limit()}
+	u.Connections, u.ConnectionLimit = e.guard.Connections()
+	return u
+}
+
+// registerGauges publishes CallerUse as metrics.
+func (e *Entry) registerGauges() {
+	for name, value := range map[string]func(callers.Use) float64{
+		"turmericsail_caller_connections":        func(u callers.Use) float64 { return float64(u.Connections) },
+		"turmericsail_caller_connections_limit":  func(u callers.Use) float64 { return float64(u.ConnectionLimit) },
+		"turmericsail_caller_memory_bytes":       func(u callers.Use) float64 { return float64(u.MemoryBytes) },
+		"turmericsail_caller_memory_bytes_limit": func(u callers.Use) float64 { return float64(u.MemoryLimitBytes) },
+	} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("%s{instance=%q}", name, e.cfg.Instance), func() float64 { return value(e.CallerUse()) })
+	}
+}
+
+// callerConnKey is the context key of a request's *callers.Conn.
+type callerConnKey struct{}
+
+// connContext is the ConnContext hook of the callers' server.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(countRequests(ctx, c), callerConnKey{}, callerConn(c))
+}
+
+// requestCost is the memory in bytes of a request besides its header section, body and answer: 15,000 HTTP/2 streams
+// that waited for their bodies took 16 KiB each.
+const requestCost = 16 << 10
+
+// reserve reserves the memory of the request, or refuses it. It answers many requests, each inside its limits, whose
+// headers and bodies together do not fit. That of the header section is reserved already on HTTP/1.1.
+func (x *exchange) reserve() *Refusal {
+	cost := callers.SectionCost(headerSize(x.r), headerLines(x.r))
+	if c, _ := x.r.Context().Value(callerConnKey{}).(*callers.Conn); c != nil {
+		cost = max(cost-c.Charged(), 0)
+	}
+	cost += requestCost
+	if hasBody(x.r) && !x.needsRelay {
+		cost += replayLimit + aheadSize
+		if n := x.r.ContentLength; n > 0 && n < replayLimit {
+			cost += n - replayLimit - aheadSize
+		}
+	}
+	if !x.e.budget.Take(cost) {
+		return refuseMemory()
+	}
+	x.reserved = cost
+	return nil
+}
+
+// reserveMore reserves memory beyond that of reserve and reports success.
+func (x *exchange) reserveMore(n int64) bool {
+	if !x.e.budget.Take(n) {
+		return false
+	}
+	x.reserved += n
+	return true
+}
+
+// releaseMemory returns what the request has reserved.
+func (x *exchange) releaseMemory() {
+	x.e.budget.Give(x.reserved)
+	x.reserved = 0
+}
+
+// http2Config bounds what one HTTP/2 connection holds. A frame is read into a buffer of its own size, which would be
+// up to 1 MiB for each connection. A connection whose caller reads nothing is closed. With limits.memory set, the buffers of unread bodies and the number of streams are
+// in proportion to it; a window of 136 KiB still allows 17 MB/s at a round trip of 8 ms.
+func http2Config(memory int64) *http.HTTP2Config {
+	c := &http.HTTP2Config{MaxConcurrentStreams: maxStreams, MaxReadFrameSize: 16 << 10, WriteByteTimeout: defaultTiming.responseStall}
+	if memory > 0 {
+		c.MaxConcurrentStreams = int(min(max(memory>>20, minStreams), maxStreams))
+		window := int(min(max(memory>>10, minWindow), maxWindow))
+		c.MaxReceiveBufferPerConnection, c.MaxReceiveBufferPerStream = window, window
+	}
+	return c
+}
+
+const (
+	// minStreams is the number of concurrent requests on a connection that RFC 9113 recommends at least.
+	minStreams = 100
+	// minWindow and maxWindow bound the receive buffers of an HTTP/2 connection, in bytes.
+	minWindow = 64 << 10
+	maxWindow = 1 << 20
+)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 
+	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/internal/tlsconf"
@@ -52,6 +53,9 @@
 	timing           timing
 	metrics          *telemetry
 	deadlines        *deadlineHistory
+	guard            *callers.Guard
+	sections         *callers.Sections
+	budget           *callers.Budget
 
 	server        *http.Server
 	relayedServer *http.Server // serves streams relayed by entries outside the home regions
@@ -70,8 +74,8 @@
 )
 
 // headerSlack is the number of bytes by which a request header may exceed its limit
-// and still get a refusal with a body. Above that, net/http closes the connection
-// with a plain 431.
+// and net/http still reads it. On HTTP/2 it counts 32 bytes for each field besides its contents, so that a header of
+// many short fields inside the limit needs the slack. On HTTP/1.1, sectionSlack is the lower one.
 const headerSlack = 64 << 10
 
 // maxResponseHeader bounds the header of an upstream's response, in bytes.
@@ -96,10 +100,22 @@
 	e.server.Protocols.SetHTTP1(true)
 	e.server.Protocols.SetHTTP2(true)
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
-	e.server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
-	e.server.ConnState = newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() }).connState
-	e.server.ConnContext = countRequests
+	e.server.HTTP2 = http2Config(int64(cfg.Limits.Memory))
+	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.connectionClosed)
+	e.budget = callers.NewBudget(requestMemory(cfg.Limits))
+	e.sections = &callers.Sections{
+		Budget: e.budget, Refuse: e.refuseSection, OnClose: e.connectionClosed,
+		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
+		Timeout:  func() time.Duration { return e.limits().HeaderTimeout.Std() },
+	}
+	idle := newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() })
+	e.server.ConnState = func(c net.Conn, s http.ConnState) {
+		idle.connState(c, s)
+		enterPhase(c, s)
+	}
+	e.server.ConnContext = connContext
 	e.relayedServer = e.newServer(true)
+	e.registerGauges()
 	return e
 }
 
@@ -113,6 +129,9 @@
 	if set.BodyBytes > 0 {
 		own.BodyBytes = min(own.BodyBytes, set.BodyBytes)
 	}
+	if set.HeaderTimeout > 0 {
+		own.HeaderTimeout = min(own.HeaderTimeout, set.HeaderTimeout)
+	}
 	if set.IdleTimeout > 0 {
 		own.IdleTimeout = min(own.IdleTimeout, set.IdleTimeout)
 	}
@@ -159,6 +178,7 @@
 }
 
 func (e *Entry) serveCallers(l net.Listener) error {
+	l = &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil}
 	if e.cfg.Callers.TLS == nil {
 		return e.server.Serve(l)
 	}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -61,6 +61,8 @@
 	avoid             []string    // see Admission
 	suspect           bool        // see Admission
 
+	reserved int64 // memory of the entry's budget, in bytes
+
 	identity      string
 	ticket        Ticket
 	claimReleased bool // the claim was granted to this exchange and released
@@ -122,6 +124,7 @@
 	e.running.Add(1)
 	defer e.running.Add(-1)
 	defer x.forbid1xx() // a connection to an upstream may outlast the request
+	defer x.releaseMemory()
 	defer x.recoverServe()
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -134,6 +137,9 @@
 	if x.report.aborted {
 		panic(http.ErrAbortHandler)
 	}
+	// net/http sends the end of the response after this, without a deadline of its own: a caller that reads nothing would
+	// hold its connection without end. It removes the deadline before the next request.
+	_ = x.control.SetWriteDeadline(time.Now().Add(x.e.timing.responseStall))
 }
 
 // run processes the request. It returns a refusal unless it has sent a response to the caller.
@@ -223,9 +229,12 @@
 	return !x.e.ports.Direct && !x.route.Permits(x.e.cfg.Region)
 }
 
-// admit checks the deadline and the declared body length, reads the call depth, opens the body and
+// admit reserves memory, checks the deadline and the declared body length, reads the call depth, opens the body and
 // starts the watchdog timer.
 func (x *exchange) admit() *Refusal {
+	if refusal := x.reserve(); refusal != nil {
+		return refusal
+	}
 	limit := x.route.Deadline.Std()
 	if v := x.r.Header.Get(x.e.proto.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
