--- a/internal/gateway/rollout_world_test.go
+++ b/internal/gateway/rollout_world_test.go
@@ -26,6 +26,7 @@
 	"github.com/turmericsail/turmericsail/pkg/store"
 	"github.com/turmericsail/turmericsail/pkg/table"
 	"github.com/turmericsail/turmericsail/platform"
+	"github.com/turmericsail/turmericsail/platform/platformtest"
 )
 
 const (
@@ -579,7 +580,8 @@
 	defer w.mu.Unlock()
 	w.orderedAt, w.deadline, w.target = time.Now(), time.Now().Add(duration), version
 	w.total, w.exposed, w.badAnswers, w.fiftieth = 0, 0, 0, time.Time{}
-	w.put("op/rollout/p", fmt.Appendf(nil, `{"service":"p","target_version":%q,"duration":%q}`, version, duration))
+	key, value := platformtest.RolloutOrder("p", version, duration)
+	w.put(key, []byte(value))
 }
 
 func (w *rolloutWorld) locked(f func()) {
@@ -623,7 +625,7 @@
 	if want == rollout.Completed && (w.oldAtVerdict > 0 || w.oldAfterVerdict > 0) {
 		w.t.Errorf("%d requests were at old upstreams at the verdict, and %d went there later", w.oldAtVerdict, w.oldAfterVerdict)
 	}
-	if !bytes.Contains(w.values["status/rollout/p"].Value, []byte(want)) {
-		w.t.Errorf("status %s", w.values["status/rollout/p"].Value)
+	if status := w.values[platformtest.RolloutStatusKey("p")].Value; !bytes.Contains(status, []byte(want)) {
+		w.t.Errorf("status %s", status)
 	}
 }
