rollout: a judge that hears few instances neither advances nor completes

A judge that is cut off from the other instances but not from the store would have gone on with the evidence that it had, beside the reader to which the others report. It now needs reports of half of the instances that have reported.

--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -157,6 +157,10 @@
 			time.Sleep(3 * time.Second)
 			w.net.SetPartition(func(a, b peer.InstanceID) bool { return (a[0] == 'a') != (b[0] == 'a') })
 		}},
+		{"region of the judge cut off, good", badness{}, rollout.Completed, func(w *rolloutWorld) {
+			time.Sleep(3 * time.Second)
+			w.net.SetPartition(func(a, b peer.InstanceID) bool { return (a[0] == 'a') != (b[0] == 'a') })
+		}},
 		{"restart of everything", badness{}, rollout.Completed, func(w *rolloutWorld) {
 			time.Sleep(3 * time.Second)
 			w.restartAll()
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -201,6 +201,10 @@
 	return n
 }
 
+// hearsMost reports whether at least half of the instances that have reported do so still. A judge that is cut off from the
+// others but not from the store must not go on with old evidence, or complete while requests of the others run.
+func (j *Judge) hearsMost(now time.Time) bool { return 2*j.Heard(now) >= len(j.instances) }
+
 // Total returns the counts of both versions.
 func (j *Judge) Total() Pair { return j.all.total() }
 
@@ -269,6 +273,8 @@
 	switch {
 	case f.Target == 0:
 		return "no upstream of the version is warm"
+	case !j.hearsMost(now):
+		return "most instances do not report"
 	case worst != inconspicuous:
 		return "the answers of the version are suspicious"
 	case r.Stage == All:
@@ -294,6 +300,9 @@
 	if f.Old > 0 && now.Sub(r.Since) < f.Limit+drainMargin || f.Target == 0 {
 		return false
 	}
+	if !j.hearsMost(now) {
+		return false
+	}
 	for _, h := range j.instances {
 		if now.Sub(h.at) < silentTime && !(h.Stage == All && h.Drained && h.at.After(r.Since)) {
 			return false
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -167,6 +167,32 @@
 	}
 }
 
+// Guards against a judge that is cut off from most instances, but not from the store, and that advances or completes.
+func TestJudgeThatHearsFew(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		stage Stage
+		now   float64
+		heard int
+		want  Action
+	}{
+		{Canary, 6, 5, Advance}, {Canary, 6, 4, Wait}, {All, 11.5, 5, Complete}, {All, 11.5, 4, Wait},
+	} {
+		is := is.New(t)
+		j := NewJudge(start)
+		for i := range 10 {
+			j.Report(fmt.Sprint(i), Report{Evidence: evidenceOf(Counts{200, 0, 200, 0}, Counts{10, 0, 10, 0}, 3)}, at(1))
+		}
+		for i := range c.heard {
+			j.Report(fmt.Sprint(i), Report{Stage: c.stage, Drained: true, Evidence: evidenceOf(Counts{210, 0, 210, 0}, Counts{11, 0, 11, 0}, 3)}, at(c.now-0.5))
+		}
+		r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+		r.Stage = c.stage
+		is.Equal(j.Decide(at(c.now), &r, testFleet).Action, c.want)
+	}
+}
+
 // Guards against evidence that is counted twice or lost when reports are lost, repeated or reordered, or when an instance
 // restarts.
 func TestReportsAreIdempotent(t *testing.T) {
