gateway: test both limits of second copies over all instances

Guards against the sum of second copies and retries over all instances exceeding the retry ratio, or second copies their own limit, in any ten seconds after a calm time in which reserves fill.

--- a/internal/gateway/hedging_test.go
+++ b/internal/gateway/hedging_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -55,6 +56,63 @@
 	is.True(copies+retries <= requests*16/100)
 }
 
+// Guards against more second copies and retries over all instances, in any ten seconds, than the retry ratio and its reserve
+// allow, and against more second copies than their own limit: all requests are slow and all fail, after a calm time.
+func TestBothLimitsHoldOverAllInstances(t *testing.T) {
+	const (
+		tick    = 100 * time.Millisecond
+		window  = int(10 * time.Second / tick)
+		slack   = 630
+		reserve = 50
+		percent = 5
+	)
+	for _, instances := range []int{2, 18, 101, 471} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			is := is.New(t)
+			count := func() int { return instances }
+			fleet := make([]*hedging, instances)
+			for i := range fleet {
+				budgets := newRetryBudgets(platform.Bounds{RetryPercent: 20, RetryReserve: slack}, count)
+				fleet[i] = newHedging(settings.Hedging{Percent: percent, Reserve: reserve}, budgets, count, func(string) bool { return false })
+			}
+			var requests, copies, again []int
+			total := 0
+			for step := range 4 * window {
+				sent, second, retries := 0, 0, 0
+				for i, h := range fleet {
+					if (step+i)%2 > 0 { // five requests a second
+						continue
+					}
+					h.Request(hedgedPool, hedgedRoute)
+					sent++
+					if step < window {
+						continue
+					}
+					now := time.Now()
+					if h.Plan(entry.HedgeRequest{Pool: hedgedPool, Route: hedgedRoute, Placed: now.Add(-time.Second), Deadline: now.Add(time.Minute)}).Send {
+						second++
+					}
+					if step%20 > 3 { // failures come in groups
+						continue
+					}
+					if _, ok := h.Retry(entry.RetryRequest{Pool: hedgedPool, Route: hedgedRoute}); ok {
+						retries++
+					}
+				}
+				requests, copies, again = append(requests, sent), append(copies, second), append(again, second+retries)
+				total += second
+				all, extra, both := 0, 0, 0
+				for n := max(0, step-window+1); n <= step; n++ {
+					all, extra, both = all+requests[n], extra+copies[n], both+again[n]
+				}
+				is.True(float64(extra) <= percent/100.0*float64(all)+float64(max(reserve, instances)))
+				is.True(float64(both) <= 0.2*float64(all)+slack)
+			}
+			is.True(total > 0)
+		})
+	}
+}
+
 // Guards against second copies to a crowded pool, and against any with the limit 0.
 func TestNoSecondCopies(t *testing.T) {
 	for _, c := range []struct {
