--- a/pkg/rate/rules.go
+++ b/pkg/rate/rules.go
@@ -19,10 +19,10 @@
 	maxWait = 120 * time.Millisecond
 	// standingTime is the time without a stamp after which a borrower uses its own share again, or gives it up to another
 	// lender. It is the interruption that the death of a lender causes.
-	standingTime = 1500 * time.Millisecond
+	standingTime = 2 * time.Second
 	// standingMargin ends the standing of a borrower at the lender before the borrower uses its own share. It covers
-	// the interval of scanInterval at which the lender looks.
-	standingMargin = 50 * time.Millisecond
+	// the leases that the lender has just granted from that share, and the interval of scanInterval at which it looks.
+	standingMargin = leaseTime + 50*time.Millisecond
 	// scanInterval is the shortest time between two counts of the borrowers in good standing.
 	scanInterval = 20 * time.Millisecond
 	// lapseTime is the time without a statement of its role after which a lender does not trust it for lapseWait.
@@ -35,8 +35,9 @@
 	callGap = 20 * time.Millisecond
 	// renewAge is the age at which unused tokens are given back: early enough that the message arrives in time.
 	renewAge = 300 * time.Millisecond
-	// keepInterval is the longest time between two calls, so that one lost message does not end the standing.
-	keepInterval = 700 * time.Millisecond
+	// keepInterval is the longest time between two calls. A stamp is echoed in the call after the one that brought it, and
+	// counts until the next: two intervals are less than standingTime - standingMargin.
+	keepInterval = 650 * time.Millisecond
 	// busyRate is the number of requests a second from which an instance borrows tokens beforehand. Below it, tokens
 	// would mostly expire unused.
 	busyRate = 1.0
