--- a/pkg/rate/rate_test.go
+++ b/pkg/rate/rate_test.go
@@ -10,6 +10,9 @@
 
 var histories = flag.Int("histories", 4, "number of random histories of each size")
 
+// sizes are numbers of instances.
+var sizes = []int{2, 16, 104, 471}
+
 var testRegions = []string{"north", "central", "south"}
 
 // tally sums what happened to the requests of some workspaces.
@@ -38,61 +41,68 @@
 // Guards against refusals of requests below the limit under a steady load, and during a flood of another workspace.
 // The load is measured once the buckets of the lenders, which start empty after 5 s, have filled.
 func TestOrdinaryRequestsAreAdmitted(t *testing.T) {
-	for _, instances := range []int{2, 16, 104, 471} {
-		spaces := population(75, 840)
-		s := newSite(uint64(instances), instances, testRegions[:min(instances, 3)], spaces)
-		const begin, steady, flood = 15 * time.Second, 27 * time.Second, 37 * time.Second
-		flooding := spaces[3]
-		for _, w := range spaces {
-			s.load(w, func() float64 {
-				if w == flooding && s.now > steady {
-					return 7.5 * w.perSecond
-				}
-				return w.perSecond
-			}, s.anyNode, flood)
-		}
-		s.run(begin)
-		var start, calm, others, own tally
-		for _, w := range spaces {
-			start.add(w)
-			w.forget()
-		}
-		start.log(t, "start")
-		messages := s.messages
-		s.run(steady)
-		t.Logf("%d instances: %.1f messages per instance and second", instances, float64(s.messages-messages)/float64(instances)/(steady-begin).Seconds())
-		for _, w := range spaces {
-			calm.add(w)
-			if share, at := w.excess(); share > 1 {
-				t.Errorf("%s exceeds its limit %.2f times at %v", w.limit.Name, share, at)
+	for _, instances := range sizes {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			testOrdinaryRequests(t, instances)
+		})
+	}
+}
+
+func testOrdinaryRequests(t *testing.T, instances int) {
+	spaces := population(75, 840)
+	s := newSite(uint64(instances), instances, testRegions[:min(instances, 3)], spaces)
+	const begin, steady, flood = 15 * time.Second, 27 * time.Second, 37 * time.Second
+	flooding := spaces[3]
+	for _, w := range spaces {
+		s.load(w, func() float64 {
+			if w == flooding && s.now > steady {
+				return 7.5 * w.perSecond
 			}
-			w.forget()
+			return w.perSecond
+		}, s.anyNode, flood)
+	}
+	s.run(begin)
+	var start, calm, others, own tally
+	for _, w := range spaces {
+		start.add(w)
+		w.forget()
+	}
+	start.log(t, "start")
+	messages := s.messages
+	s.run(steady)
+	t.Logf("%d instances: %.1f messages per instance and second", instances, float64(s.messages-messages)/float64(instances)/(steady-begin).Seconds())
+	for _, w := range spaces {
+		calm.add(w)
+		if share, at := w.excess(); share > 1 {
+			t.Errorf("%s exceeds its limit %.2f times at %v", w.limit.Name, share, at)
 		}
-		calm.log(t, "steady load")
-		s.run(flood)
-		for _, w := range spaces {
-			if share, at := w.excess(); share > 1 {
-				t.Errorf("%s exceeds its limit %.2f times at %v", w.limit.Name, share, at)
-			}
-			if w == flooding {
-				own.add(w)
-			} else {
-				others.add(w)
-			}
+		w.forget()
+	}
+	calm.log(t, "steady load")
+	s.run(flood)
+	for _, w := range spaces {
+		if share, at := w.excess(); share > 1 {
+			t.Errorf("%s exceeds its limit %.2f times at %v", w.limit.Name, share, at)
 		}
-		others.log(t, "others during a flood")
-		own.log(t, "the flooding workspace")
-		served := float64(own.sent) / (flooding.limit.Rate * (flood - steady).Seconds())
-		t.Logf("the flooding workspace got %.2f of its rate", served)
-		for name, got := range map[string]tally{"steady load": calm, "others during a flood": others} {
-			if got.over+got.unreached > 0 {
-				t.Errorf("%d instances, %s: %d of %d requests were refused", instances, name, got.over+got.unreached, got.asked)
-			}
+		if w == flooding {
+			own.add(w)
+		} else {
+			others.add(w)
 		}
-		if served < 0.9 {
-			t.Errorf("%d instances: the flooding workspace got only %.2f of its rate", instances, served)
+	}
+	others.log(t, "others during a flood")
+	own.log(t, "the flooding workspace")
+	served := float64(own.sent) / (flooding.limit.Rate * (flood - steady).Seconds())
+	t.Logf("the flooding workspace got %.2f of its rate", served)
+	for name, got := range map[string]tally{"steady load": calm, "others during a flood": others} {
+		if got.over+got.unreached > 0 {
+			t.Errorf("%d instances, %s: %d of %d requests were refused", instances, name, got.over+got.unreached, got.asked)
 		}
 	}
+	if served < 0.9 {
+		t.Errorf("%d instances: the flooding workspace got only %.2f of its rate", instances, served)
+	}
 }
 
 // disturb does one random thing to the instances, the network, the store or, with limits, a limit.
@@ -187,21 +197,28 @@
 // directions, freezes with and without the monotonic clock, lost, late and doubled messages, lost keys, joins and changed
 // limits.
 func TestLimitHoldsThroughRandomHistories(t *testing.T) {
-	for _, instances := range []int{2, 16, 104, 471} {
-		worst, where, total := 0.0, "", 0
-		for seed := range max(*histories*2/max(instances/16, 2), 1) {
-			share, what, sent := playHistory(uint64(seed), instances)
-			total += sent
-			if share > worst {
-				worst, where = share, fmt.Sprintf("seed %d, %s", seed, what)
-			}
-			if share > 1 {
-				t.Errorf("%d instances, seed %d, %s: %.2f times what is permitted", instances, seed, what, share)
-			}
+	for _, instances := range sizes {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			t.Parallel()
+			testRandomHistories(t, instances)
+		})
+	}
+}
+
+func testRandomHistories(t *testing.T, instances int) {
+	worst, where, total := 0.0, "", 0
+	for seed := range max(*histories*2/max(instances/16, 2), 1) {
+		share, what, sent := playHistory(uint64(seed), instances)
+		total += sent
+		if share > worst {
+			worst, where = share, fmt.Sprintf("seed %d, %s", seed, what)
 		}
-		t.Logf("%d instances: %d requests sent; most: %.2f of what is permitted (%s)", instances, total, worst, where)
-		if total == 0 {
-			t.Error("no request was sent")
+		if share > 1 {
+			t.Errorf("%d instances, seed %d, %s: %.2f times what is permitted", instances, seed, what, share)
 		}
 	}
+	t.Logf("%d instances: %d requests sent; most: %.2f of what is permitted (%s)", instances, total, worst, where)
+	if total == 0 {
+		t.Error("no request was sent")
+	}
 }
