--- a/pkg/rate/lender_test.go
+++ b/pkg/rate/lender_test.go
@@ -214,3 +214,36 @@
 	}
 	is.Equal(taken, 6) // a tenth of the burst of 50 and of the slack in use, 15
 }
+
+// Guards against a share that two lenders count: after a lender failed, the next one is called at once, and gets the share
+// only when the first one no longer counts it.
+func TestShareIsGivenUpToOneLender(t *testing.T) {
+	is := is.New(t)
+	regions := []string{"n", "s"}
+	home := Region("w", regions)
+	b := NewBorrower(testRules, regions, rand.New(rand.NewPCG(1, 1)))
+	b.Tick(at(0), 10, func(region string) (peer.InstanceID, bool) { return peer.InstanceID(region + "/1"), true }, []Limit{{"w", 100, 50}})
+	now := at(standingTime) // a former process is forgotten
+	answered := func() *peerpb.RateRequest {
+		_, r := b.Compose(now, home)
+		b.Apply(now, home, &peerpb.RateReply{Lending: true, Stamp: encodeReading(now)})
+		return r
+	}
+	is.True(answered().Echo == nil)
+	is.True(answered().Echo != nil)
+	given := now
+	for range 2 {
+		now = now.Add(callGap)
+		to, _ := b.Compose(now, home)
+		is.Equal(to, peer.InstanceID(home+"/1"))
+		b.Failed(now, home)
+	}
+	for ; shortest(given, now) < standingTime; now = now.Add(100 * time.Millisecond) {
+		is.True(answered().Echo == nil)
+		is.True(b.Take(now, Limit{"w", 100, 50}, func(Decision) {}).Verdict != Admitted)
+		other, _ := b.Lender(home)
+		is.True(other != peer.InstanceID(home+"/1"))
+	}
+	answered()
+	is.True(answered().Echo != nil)
+}
