entry: responses that HTTP/2 callers do not read keep their memory

A handler returns its memory before net/http has sent the response. A header section that is closed for lack of memory gets no 400 from net/http, which would be wrong.

Without limits.memory, responses are sent as before. internal/entry passes.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -57,6 +57,10 @@
 
 var _ net.Conn = (*Conn)(nil)
 
+// errClosed is the error of a read on a connection that is closed because of its header section. net/http sends no
+// response of its own after an error of this kind.
+var errClosed = &net.OpError{Op: "read", Err: net.ErrClosed}
+
 // http2Preface starts a connection of HTTP/2 (RFC 9113, section 3.4).
 const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
@@ -70,11 +74,11 @@
 	switch {
 	case tooLarge:
 		c.refuse()
-		return 0, net.ErrClosed
+		return 0, errClosed
 	case cost < 0: // the section turned out to be the start of HTTP/2
 		c.release()
 	case cost > 0 && !c.reserve(cost):
-		return 0, net.ErrClosed
+		return 0, errClosed
 	}
 	return n, err
 }
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -131,6 +131,10 @@
 // that waited for their bodies took 16 KiB each.
 const requestCost = 16 << 10
 
+// refusalShare is the part of requestMemory that refusals may take besides it: a quarter. It lets callers have refusals
+// while requests use all memory; beyond it, the stream or connection is closed.
+const refusalShare = 4
+
 // reserve reserves the memory of the request, or refuses it. It answers many requests, each inside its limits, whose
 // headers and bodies together do not fit. That of the header section is reserved already on HTTP/1.1.
 func (x *exchange) reserve() *Refusal {
@@ -145,11 +149,17 @@
 			cost += n - replayLimit - aheadSize
 		}
 	}
-	if !x.e.budget.Take(cost) {
-		return refuseMemory()
+	if x.e.budget.Take(cost) {
+		x.reserved, x.reservedFrom = cost, x.e.budget
+		return nil
+	}
+	if x.e.refusals.Take(requestCost) {
+		x.reserved, x.reservedFrom = requestCost, x.e.refusals
+	} else {
+		x.report.aborted = true // callers do not read their refusals
+		x.e.connectionClosed(callers.ReasonMemory)
 	}
-	x.reserved = cost
-	return nil
+	return refuseMemory()
 }
 
 // reserveMore reserves memory beyond that of reserve and reports success.
@@ -163,8 +173,9 @@
 
 // releaseMemory returns what the request has reserved.
 func (x *exchange) releaseMemory() {
-	x.e.budget.Give(x.reserved)
-	x.reserved = 0
+	if x.reservedFrom != nil {
+		x.reservedFrom.Give(x.reserved)
+	}
 }
 
 // http2Config bounds what one HTTP/2 connection holds. A frame is read into a buffer of its own size, which would be
--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -127,3 +127,17 @@
 	}
 	is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the entry must close the connection
 }
+
+// Guards against refusals without number, which callers that read nothing leave behind.
+func TestRefusalsShareMemory(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.NotFoundHandler())}, withBudget(8<<10),
+		withEntry(func(e *Entry) { e.refusals = callers.NewBudget(requestCost) }))
+	for range 3 { // a refusal returns its memory
+		r := h.do("GET", "/", nil)
+		is.NoErr(r.err)
+		is.Equal(r.status, 503)
+	}
+	h.entry.refusals.Take(1)
+	is.True(h.do("GET", "/", nil).err != nil)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	guard            *callers.Guard
 	sections         *callers.Sections
 	budget           *callers.Budget
+	refusals         *callers.Budget // of requests that are refused because budget is in use
 
 	server        *http.Server
 	relayedServer *http.Server // serves streams relayed by entries outside the home regions
@@ -103,6 +104,7 @@
 	e.server.HTTP2 = http2Config(int64(cfg.Limits.Memory))
 	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.connectionClosed)
 	e.budget = callers.NewBudget(requestMemory(cfg.Limits))
+	e.refusals = callers.NewBudget(e.budget.Limit() / refusalShare)
 	e.sections = &callers.Sections{
 		Budget: e.budget, Refuse: e.refuseSection, OnClose: e.connectionClosed,
 		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/pkg/retry"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
@@ -57,7 +58,8 @@
 	avoid             []string    // see Admission
 	suspect           bool        // see Admission
 
-	reserved int64 // memory of the entry's budget, in bytes
+	reserved     int64           // memory in bytes
+	reservedFrom *callers.Budget // the budget of it
 
 	identity      string
 	ticket        Ticket
@@ -125,7 +127,7 @@
 	if e.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if refusal := x.run(); refusal != nil {
+	if refusal := x.run(); refusal != nil && !x.report.aborted {
 		x.refuse(refusal)
 	}
 	x.close()
@@ -136,11 +138,20 @@
 	// net/http sends the end of the response after this, without a deadline of its own: a caller that reads nothing would
 	// hold its connection without end. It removes the deadline before the next request.
 	_ = x.control.SetWriteDeadline(time.Now().Add(x.e.timing.responseStall))
+	if x.r.ProtoMajor == 2 && e.cfg.Limits.Memory > 0 {
+		// Streams of a connection that is not read must hold their memory until they have sent their responses. Many
+		// streams share such a connection, so its number does not bound them.
+		_ = x.control.Flush() // an error ends the stream, as it does after the return
+	}
 }
 
 // run processes the request. It returns a refusal unless it has sent a response to the caller.
 func (x *exchange) run() *Refusal {
-	if refusal := x.match(); refusal != nil {
+	refusal := x.match()
+	if full := x.reserve(); full != nil { // refusals take memory, too, until the caller has read them
+		return full
+	}
+	if refusal != nil {
 		return refusal
 	}
 	if refusal := x.admit(); refusal != nil {
@@ -210,12 +221,9 @@
 	return nil
 }
 
-// admit reserves memory, checks the deadline and the declared body length, reads the call depth, opens the body and
+// admit checks the deadline and the declared body length, reads the call depth, opens the body and
 // starts the watchdog timer.
 func (x *exchange) admit() *Refusal {
-	if refusal := x.reserve(); refusal != nil {
-		return refusal
-	}
 	limit := x.route.Deadline.Std()
 	if v := x.r.Header.Get(x.e.proto.Deadline); v != "" {
 		ms, err := strconv.ParseInt(v, 10, 64)
--- a/internal/entry/refusal.go
+++ b/internal/entry/refusal.go
@@ -47,8 +47,11 @@
 	if f.Close {
 		h.Set("Connection", "close")
 	}
+	body, _ := json.Marshal(f) // strings and numbers only
+	body = append(body, '\n')
+	h.Set("Content-Length", strconv.Itoa(len(body))) // net/http adds it only to a response that is not flushed early
 	w.WriteHeader(f.Status)
-	_ = json.NewEncoder(w).Encode(f)
+	_, _ = w.Write(body)
 }
 
 // defaultRetryAfter is the Retry-After of refusals without a more specific delay.
