entry: the test of early rejections does not depend on the machine's speed

The refusal was true: the caller sent a piece each 5 ms, and on a busy machine the rejection came when more than the kept 64 KiB had been read. Now the caller sends half of the kept bytes, and the rest once the retry has been asked for, during its delay of 200 ms, in which the fault was.

--- a/internal/entry/replay_test.go
+++ b/internal/entry/replay_test.go
@@ -25,6 +25,18 @@
 
 func (d delayedRetries) Retry(r RetryRequest) (time.Duration, bool) { return d.delay, r.Attempt <= 3 }
 
+// announcedRetries allows each retry after a fixed delay, at whose start it closes asked.
+type announcedRetries struct {
+	delayedRetries
+	once  sync.Once
+	asked chan struct{}
+}
+
+func (a *announcedRetries) Retry(r RetryRequest) (time.Duration, bool) {
+	a.once.Do(func() { close(a.asked) })
+	return a.delayedRetries.Retry(r)
+}
+
 // newEarlyRejectingUpstream rejects each request as not run after some bytes of its body and then reads on.
 func newEarlyRejectingUpstream(t testing.TB, after int64, answer string) *rawUpstream {
 	return newRawUpstream(t, func(_ int64, c net.Conn) {
@@ -80,6 +92,24 @@
 	return n, nil
 }
 
+// gatedReader returns the first bytes of a body at once and the rest when the gate has opened, or after some seconds. Its type
+// hides its length, so that it is sent in chunks.
+type gatedReader struct {
+	first, rest io.Reader
+	gate        <-chan struct{}
+}
+
+func (g *gatedReader) Read(b []byte) (int, error) {
+	if n, err := g.first.Read(b); err != io.EOF {
+		return n, err
+	}
+	select {
+	case <-g.gate:
+	case <-time.After(5 * time.Second):
+	}
+	return g.rest.Read(b)
+}
+
 func randomBytes(n int, seed uint64) []byte {
 	b := make([]byte, n)
 	_, _ = rand.NewChaCha8([32]byte{byte(seed), byte(seed >> 8)}).Read(b)
@@ -87,7 +117,8 @@
 }
 
 // Guards against an upstream that runs a request with the start of its body only: the attempt before was rejected early and
-// went on reading the body past the kept bytes until the retry began.
+// went on reading the body past the kept bytes until the retry began. The caller sends more than the first kept bytes only
+// during the delay of the retry, so that the rejection arrives in time however slow the machine is.
 func TestRetryHasTheWholeBody(t *testing.T) {
 	h2c := new(http.Protocols)
 	h2c.SetUnencryptedHTTP2(true)
@@ -106,12 +137,13 @@
 			t.Parallel()
 			is := is.New(t)
 			runs := &bodyRecorder{}
+			retries := &announcedRetries{delayedRetries: delayedRetries{200 * time.Millisecond}, asked: make(chan struct{})}
 			addresses := []string{newEarlyRejectingUpstream(t, 1000, c.answer).addr, serveUpstream(t, runs)}
 			h := newHarness(t, testRoute(), addresses, withPorts(func(p *Ports) {
-				p.Placement, p.Retries = inOrder{}, delayedRetries{200 * time.Millisecond}
+				p.Placement, p.Retries = inOrder{}, retries
 			}))
 			body := randomBytes(4*replayLimit, 1)
-			req, err := http.NewRequest(http.MethodPost, h.url, &pacedReader{rest: body, piece: 16 << 10, pause: 5 * time.Millisecond})
+			req, err := http.NewRequest(http.MethodPost, h.url, &gatedReader{bytes.NewReader(body[:replayLimit/2]), bytes.NewReader(body[replayLimit/2:]), retries.asked})
 			is.NoErr(err)
 			if c.length {
 				req.ContentLength = int64(len(body))
