rollout: advance and complete only while most instances report

Callers saw requests of other instances fail or be served by a bad version when the first judge had just begun and could reach the store but not the other instances: it advanced and completed on its own reports.

Cause: the majority was taken of the instances that had reported to this judge, which may be the judge alone.

The number of all instances is part of what the judge knows of the pool, and both advancing and completing, also without old upstreams, need reports of more than half of them. Without them the version is rolled back at the deadline, unless no other version is in service.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -452,6 +452,9 @@
 			run.fleet = fleetOf(tables, &pool, rules, now)
 		}
 	}
+	if s.transport != nil {
+		run.fleet.Instances = s.source.Instances()
+	}
 	return run.fleet
 }
 
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -76,6 +76,8 @@
 	Used int
 	// Limit is the longest time that a request of the pool may take.
 	Limit time.Duration
+	// Instances is the number of instances that may send requests to the pool, or 0 if this one has no peers.
+	Instances int
 }
 
 // Action is what the judge decides.
@@ -201,9 +203,13 @@
 	return n
 }
 
-// hearsMost reports whether at least half of the instances that have reported do so still. A judge that is cut off from the
-// others but not from the store must not go on with old evidence, or complete while requests of the others run.
-func (j *Judge) hearsMost(now time.Time) bool { return 2*j.Heard(now) >= len(j.instances) }
+// hearsMost reports whether at least half of the instances that have reported do so still, and more than half of all do. A
+// judge that is cut off from the others but not from the store must not go on with old evidence, or complete while requests
+// of the others run. A judge that has just begun may never have heard the others.
+func (j *Judge) hearsMost(now time.Time, f Fleet) bool {
+	heard := j.Heard(now)
+	return 2*heard >= len(j.instances) && (f.Instances == 0 || 2*heard > f.Instances)
+}
 
 // Total returns the counts of both versions.
 func (j *Judge) Total() Pair { return j.all.total() }
@@ -222,6 +228,7 @@
 		j.alone = now
 	}
 	alone := !j.alone.IsZero() && now.Sub(j.alone) >= aloneTime
+	justified := finding == inconspicuous && j.hearsMost(now, f)
 	end := r.Deadline().Add(-giveUpTime)
 	switch {
 	case j.condemned != "":
@@ -230,11 +237,11 @@
 		return Decision{RollBack, "the answers of the version stay suspicious"}
 	case now.Sub(j.began) < learnTime && now.Before(end):
 		return Decision{Wait, "collecting reports"}
-	case r.Stage == All && finding == inconspicuous && (j.drained(now, r, f) || alone && !now.Before(end)):
+	case r.Stage == All && justified && (j.drained(now, r, f) || alone && !now.Before(end)):
 		return Decision{Complete, "no request is at an old upstream"}
-	case alone && r.Stage != All && finding == inconspicuous:
+	case alone && r.Stage != All && justified:
 		return Decision{Advance, "no other version is in service"}
-	case !now.Before(end) && !j.alone.IsZero() && !alone:
+	case !now.Before(end) && !j.alone.IsZero() && (!alone || !j.hearsMost(now, f)):
 		return Decision{Wait, "no other version is in service"}
 	case !now.Before(end):
 		return Decision{RollBack, "no verdict before the deadline: " + j.lacks(now, r, f, finding)}
@@ -273,7 +280,7 @@
 	switch {
 	case f.Target == 0:
 		return "no upstream of the version is warm"
-	case !j.hearsMost(now):
+	case !j.hearsMost(now, f):
 		return "most instances do not report"
 	case worst != inconspicuous:
 		return "the answers of the version are suspicious"
@@ -300,7 +307,7 @@
 	if f.Old > 0 && now.Sub(r.Since) < f.Limit+drainMargin || f.Target == 0 {
 		return false
 	}
-	if !j.hearsMost(now) {
+	if !j.hearsMost(now, f) {
 		return false
 	}
 	for _, h := range j.instances {
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -193,6 +193,46 @@
 	}
 }
 
+// Guards against a new judge that is cut off from the other instances, has heard only itself, and advances or completes.
+func TestJudgeThatHasNotHeardMost(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name  string
+		stage Stage
+		old   int
+		now   float64
+		heard int
+		want  Action
+	}{
+		{"canary, most heard", Canary, 40, 6, 6, Advance},
+		{"canary, half heard", Canary, 40, 6, 5, Wait},
+		{"canary, one heard", Canary, 40, 6, 1, Wait},
+		{"all, most heard", All, 40, 11.5, 6, Complete},
+		{"all, half heard", All, 40, 11.5, 5, Wait},
+		{"all, one heard at the deadline", All, 40, 13.3, 1, RollBack},
+		{"no old upstreams, one heard", Canary, 0, 6, 1, Wait},
+		{"no old upstreams, one heard at the deadline", All, 0, 13.3, 1, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(start)
+			fleet := testFleet
+			fleet.Old, fleet.Instances = c.old, 10
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			r.Stage = c.stage
+			for _, now := range []float64{1, c.now - 2, c.now} {
+				for i := range c.heard {
+					j.Report(fmt.Sprint(i), Report{Stage: c.stage, Drained: true, Evidence: evidenceOf(Counts{200, 0, 200, 0}, Counts{int(100 + now), 0, 100, 0}, 3)}, at(now-0.1))
+				}
+				d := j.Decide(at(now), &r, fleet)
+				if now == c.now && d.Action != c.want {
+					t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against evidence that is counted twice or lost when reports are lost, repeated or reordered, or when an instance
 // restarts.
 func TestReportsAreIdempotent(t *testing.T) {
