rollout: drain from when the last stage was seen

Callers whose requests ran at old upstreams could lose them to a verdict that came too early: a write of the last stage that was applied late used up the wait, there was no wait once the old upstreams had left, and in deployments of several hundred instances, which report every second or less often, the reports of busy ones were ignored after 2 s.

Cause: the wait started at the time in the record, was skipped without old upstreams in the pool, and the time until an instance counts as silent did not depend on the report interval.

TestDrainWait failed before in the cases of a late write, no old upstreams and seldom reports, and passes now; the roll-out tests of internal/gateway pass.

Each instance notes when it first saw the stage in the store, so a judge that takes over need not wait anew; the wait counts from there and needs reports made after it. An instance is silent after 2 s or 2.5 report intervals, whichever is longer.

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -102,6 +102,7 @@
 	order      uint64
 	tracker    *rollout.Tracker
 	condemned  bool
+	allSeen    time.Time // when the last stage was first seen in the store
 	answeredAt time.Time // the latest answer of a judge, or when the roll-out was first seen
 	nextReport time.Time
 	reporting  bool
@@ -193,9 +194,12 @@
 		active := r.Record != nil && r.Record.State == rollout.Running && r.Record.Order == run.order
 		if active {
 			running = true
+			if r.Record.Stage == rollout.All && run.allSeen.IsZero() {
+				run.allSeen = now
+			}
 			s.maybeReport(ctx, g, run, r, judges, now)
 		}
-		acts := first || run.judge != nil && 2*run.judge.Heard(now) > s.source.Instances()
+		acts := first || run.judge != nil && 2*run.judge.Heard(now, s.fleet(run, now)) > s.source.Instances()
 		if !first && (run.judge == nil || now.Sub(run.reportedTo) > judgeSilence || !slices.Contains(judges, s.self)) {
 			run.judge = nil
 			continue
@@ -281,16 +285,21 @@
 
 // --- the evidence ---
 
+// reportInterval returns the mean time between two reports of an instance.
+func (s *rolloutService) reportInterval(stage rollout.Stage) time.Duration {
+	interval := evidenceInterval
+	if stage != rollout.Canary {
+		interval = lateInterval
+	}
+	return max(interval, time.Duration(s.source.Instances())*time.Second/reportsPerSecond)
+}
+
 // maybeReport sends the evidence of this instance to the judge if it is due.
 func (s *rolloutService) maybeReport(ctx context.Context, g *errgroup.Group, run *rolloutRun, r follow.Rollout, judges []peer.InstanceID, now time.Time) {
 	if run.reporting || now.Before(run.nextReport) {
 		return
 	}
-	interval := evidenceInterval
-	if r.Record.Stage != rollout.Canary {
-		interval = lateInterval
-	}
-	interval = max(interval, time.Duration(s.source.Instances())*time.Second/reportsPerSecond)
+	interval := s.reportInterval(r.Record.Stage)
 	run.nextReport = now.Add(interval*3/4 + rand.N(interval/2)) // the reports of all instances are spread
 	report := run.tracker.Report(now, r.Record.Stage)
 	report.Condemned = run.condemned
@@ -455,6 +464,9 @@
 	if s.transport != nil {
 		run.fleet.Instances = s.source.Instances()
 	}
+	if r.Record != nil {
+		run.fleet.ReportInterval = s.reportInterval(r.Record.Stage)
+	}
 	return run.fleet
 }
 
@@ -512,6 +524,7 @@
 		run.judge = rollout.NewJudge(now)
 	}
 	fleet := s.fleet(run, now)
+	fleet.AllSeen = run.allSeen.Round(0)
 	d := run.judge.Decide(wall, r.Record, fleet)
 	if !acts && (d.Action != rollout.RollBack || run.judge.Condemned(fleet.Used, now) == "") {
 		return nil
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -36,8 +36,10 @@
 	suspicionTime = 2 * time.Second
 	// lastSuspicionTime replaces it in the last stage, in which a second costs 7 % of all requests of an order of 14 s.
 	lastSuspicionTime = time.Second
-	// silentTime is how long an instance is silent that is taken for dead or cut off.
-	silentTime = 2 * time.Second
+	// silentTime is how long an instance is silent that is taken for dead or cut off, at least silentIntervals report intervals:
+	// the time between two reports varies by a quarter, and one report may be lost.
+	silentTime      = 2 * time.Second
+	silentIntervals = 2.5
 	// learnTime is how long a judge that has just begun collects reports before it decides.
 	learnTime = 1500 * time.Millisecond
 	// recentTime is the length of the window in which a late fault shows that is small among all answers since the order.
@@ -78,6 +80,15 @@
 	Limit time.Duration
 	// Instances is the number of instances that may send requests to the pool, or 0 if this one has no peers.
 	Instances int
+	// ReportInterval is the mean time between two reports of an instance.
+	ReportInterval time.Duration
+	// AllSeen is when the judge's instance first saw the stage all in the store, or zero.
+	AllSeen time.Time
+}
+
+// silentTime returns how long an instance is silent that is taken for dead or cut off.
+func (f Fleet) silentTime() time.Duration {
+	return max(silentTime, time.Duration(silentIntervals*float64(f.ReportInterval)))
 }
 
 // Action is what the judge decides.
@@ -194,9 +205,9 @@
 func (j *Judge) Instances() int { return len(j.instances) }
 
 // Heard returns the number of instances that have reported lately.
-func (j *Judge) Heard(now time.Time) (n int) {
+func (j *Judge) Heard(now time.Time, f Fleet) (n int) {
 	for _, h := range j.instances {
-		if now.Sub(h.at) < silentTime {
+		if now.Sub(h.at) < f.silentTime() {
 			n++
 		}
 	}
@@ -207,7 +218,7 @@
 // judge that is cut off from the others but not from the store must not go on with old evidence, or complete while requests
 // of the others run. A judge that has just begun may never have heard the others.
 func (j *Judge) hearsMost(now time.Time, f Fleet) bool {
-	heard := j.Heard(now)
+	heard := j.Heard(now, f)
 	return 2*heard >= len(j.instances) && (f.Instances == 0 || 2*heard > f.Instances)
 }
 
@@ -302,16 +313,18 @@
 }
 
 // drained reports whether no request can be at an old upstream: the longest one has ended, and all instances that are
-// heard say so.
+// heard say so. The time counts from when the stage was seen in the store, since a write may be applied late, and also if the
+// old upstreams have left: requests may still run there.
 func (j *Judge) drained(now time.Time, r *Record, f Fleet) bool {
-	if f.Old > 0 && now.Sub(r.Since) < f.Limit+drainMargin || f.Target == 0 {
-		return false
+	since := r.Since
+	if f.AllSeen.After(since) {
+		since = f.AllSeen
 	}
-	if !j.hearsMost(now, f) {
+	if now.Sub(since) < f.Limit+drainMargin || f.Target == 0 || !j.hearsMost(now, f) {
 		return false
 	}
 	for _, h := range j.instances {
-		if now.Sub(h.at) < silentTime && !(h.Stage == All && h.Drained && h.at.After(r.Since)) {
+		if now.Sub(h.at) < f.silentTime() && !(h.Stage == All && h.Drained && h.at.After(since)) {
 			return false
 		}
 	}
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -233,6 +233,48 @@
 	}
 }
 
+// Guards against a verdict while requests run at old upstreams: when the write of the last stage is applied late, when the old
+// upstreams are not listed any more, and when the instance that has such requests reports seldom.
+func TestDrainWait(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name     string
+		old      int
+		seen     float64
+		interval time.Duration
+		reported float64 // the time of the report of an instance with requests, or 0
+		now      float64
+		want     Action
+	}{
+		{"waited", 40, 8, 0, 0, 11.2, Complete},
+		{"written late", 40, 9.5, 0, 0, 11.2, Wait},
+		{"written late, waited", 40, 9.5, 0, 0, 12.7, Complete},
+		{"no old upstreams", 0, 8, 0, 0, 10, Wait},
+		{"no old upstreams, waited", 0, 8, 0, 0, 11.2, Complete},
+		{"silent instance", 40, 8, 500 * time.Millisecond, 8.5, 11.2, Complete},
+		{"instance that reports seldom", 40, 8, 1200 * time.Millisecond, 8.5, 11.2, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(start)
+			fleet := testFleet
+			fleet.Old, fleet.AllSeen, fleet.ReportInterval = c.old, at(c.seen), c.interval
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			r.Stage, r.Since = All, at(8)
+			good := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 0, 100, 0}, 3)
+			if c.reported > 0 {
+				j.Report("busy", Report{Stage: All, Evidence: good}, at(c.reported))
+			}
+			for _, instance := range []string{"a", "b"} {
+				j.Report(instance, Report{Stage: All, Drained: true, Evidence: good}, at(c.now-0.1))
+			}
+			if d := j.Decide(at(c.now), &r, fleet); d.Action != c.want {
+				t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+			}
+		})
+	}
+}
+
 // Guards against evidence that is counted twice or lost when reports are lost, repeated or reordered, or when an instance
 // restarts.
 func TestReportsAreIdempotent(t *testing.T) {
