rollout: bound the requests that a version gets before the last stage

Callers could get more answers of a bad version than the exposure bound allows when the stage quarter or half could not end, for example because too few of its upstreams were warm: the stage lasted until the deadline.

Cause: the plan bounded when a stage may begin, but nothing bounded when it ends or counted the requests that the version got.

Neither applies if no other version is in service.

--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -36,6 +36,10 @@
 	suspicionTime = 2 * time.Second
 	// lastSuspicionTime replaces it in the last stage, in which a second costs 7 % of all requests of an order of 14 s.
 	lastSuspicionTime = time.Second
+	// exposureShare and exposureSlack bound the requests that a version may get before its last stage, as a share of all that
+	// are expected until the deadline and a number beyond it.
+	exposureShare = 0.1
+	exposureSlack = 50
 	// silentTime is how long an instance is silent that is taken for dead or cut off, at least silentIntervals report intervals:
 	// the time between two reports varies by a quarter, and one report may be lost.
 	silentTime      = 2 * time.Second
@@ -256,6 +260,8 @@
 		return Decision{Wait, "no other version is in service"}
 	case !now.Before(end):
 		return Decision{RollBack, "no verdict before the deadline: " + j.lacks(now, r, f, finding)}
+	case j.alone.IsZero() && j.overexposed(now, r, f):
+		return Decision{RollBack, "the version would get more requests than it may before the last stage: " + j.lacks(now, r, f, finding)}
 	}
 	if lack := j.lacks(now, r, f, finding); lack != "" {
 		return Decision{Wait, lack}
@@ -281,6 +287,32 @@
 	return quarter + quarterTime + halfTime
 }
 
+// overexposed reports whether the version has had more than its share of the requests before the last stage, or the stage
+// quarter or half has outlasted its plan. The last stage may begin later than planned by what reserve exceeds lateReserve.
+func (j *Judge) overexposed(now time.Time, r *Record, f Fleet) bool {
+	if r.Stage == All {
+		return false
+	}
+	total, elapsed := j.all.total(), max(now.Sub(r.Started), time.Second)
+	expected := float64(total.Target.Answers+total.Old.Answers) * max(r.Duration.Seconds()/elapsed.Seconds(), 1)
+	if float64(total.Target.Answers) > exposureShare*expected+exposureSlack {
+		return true
+	}
+	planned := quarterTime
+	switch r.Stage {
+	case Canary:
+		return false
+	case Half:
+		planned = halfTime
+	}
+	// The plan of these two stages does not depend on the rate of requests.
+	planEnd, stageEnd := r.Started.Add(plan(r.Stage, r.Duration, f.Limit, 0)), r.Since.Add(planned)
+	if stageEnd.After(planEnd) {
+		planEnd = stageEnd
+	}
+	return now.Sub(planEnd) > reserve-lateReserve
+}
+
 // lacks returns what is missing for the next stage, or an empty string.
 func (j *Judge) lacks(now time.Time, r *Record, f Fleet, worst finding) string {
 	total := j.all.total()
