rollout: do not add counts of returning upstreams twice

Callers could see a good version rolled back, or a bad one spared, because the counts by upstream grew beyond what was counted.

The counts of one that a report lacked and a later one listed again were added as a whole, and the choice among upstreams with the same number of bad answers was random.

TestUpstreamsThatReturnToReports and TestReportedUpstreamsAreStable failed before and pass now.

The judge keeps the last known counts of upstreams that a report lacks, so only the difference is added, and ties are broken by the ID.

--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// reserve is the time before the deadline that is kept for a slow store.
@@ -154,6 +157,7 @@
 		j.buckets = j.buckets[1:]
 	}
 	if !older(r.Evidence, last.Evidence) {
+		r.Evidence.Upstreams = withMissing(r.Evidence.Upstreams, last.Evidence.Upstreams)
 		j.buckets[len(j.buckets)-1].add(r.Evidence, last.Evidence)
 		j.all.add(r.Evidence, last.Evidence)
 		j.instances[instance] = heard{r, now}
@@ -166,6 +170,15 @@
 	}
 }
 
+// withMissing returns the counts with those of earlier upstreams that they lack. A report lists a part of the upstreams; the
+// counts of one that is listed again later are not to be added as a whole.
+func withMissing(counts, last map[string]Counts) map[string]Counts {
+	all := make(map[string]Counts, len(last))
+	maps.Copy(all, last)
+	maps.Copy(all, counts)
+	return all
+}
+
 // older reports whether a report was overtaken by a later one.
 func older(next, last Evidence) bool {
 	n, l := next.total(), last.total()
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -331,6 +331,43 @@
 	is.Equal(j.Total().Target.Answers, 23)
 }
 
+// Guards against counts that are added twice for an upstream that a report does not list, as only those with the most bad
+// answers are listed.
+func TestUpstreamsThatReturnToReports(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j := NewJudge(now)
+	report := func(upstreams map[string]Counts) {
+		j.Report("a", Report{Evidence: Evidence{Upstreams: upstreams}}, now)
+	}
+	first := map[string]Counts{"u1": {10, 4, 10, 0}, "u2": {5, 0, 5, 0}}
+	report(first)
+	report(map[string]Counts{"u2": {6, 5, 6, 0}})
+	report(nil)
+	report(map[string]Counts{"u1": {11, 5, 11, 0}, "u2": {6, 5, 6, 0}})
+	is.Equal(j.all.Upstreams, map[string]Counts{"u1": {11, 5, 11, 0}, "u2": {6, 5, 6, 0}})
+	is.Equal(len(first), 2) // the reports are not changed
+}
+
+// Guards against reports that list other upstreams each time, if many have the same number of bad answers.
+func TestReportedUpstreamsAreStable(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	now := time.Unix(1000, 0)
+	for i := range 3 * maxReported {
+		a := tr.Begin("r", time.Second, true)
+		a.Placed(fmt.Sprintf("u%02d", i), false, 1, now)
+		a.End(Succeeded, time.Millisecond)
+	}
+	for range 5 {
+		reported := tr.Report(now, Canary).Evidence.Upstreams
+		is.Equal(len(reported), maxReported)
+		for i := range maxReported {
+			is.Equal(reported[fmt.Sprintf("u%02d", i)].Answers, 1)
+		}
+	}
+}
+
 // Guards against evidence that is not counted: attempts that run for long must show before they end, and once only, and those
 // of cold upstreams say nothing about the time.
 func TestTracker(t *testing.T) {
--- a/pkg/rollout/tracker.go
+++ b/pkg/rollout/tracker.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -168,7 +169,9 @@
 	}
 	e := Evidence{Routes: maps.Clone(t.routes), Upstreams: map[string]Counts{}}
 	ids := slices.Collect(maps.Keys(t.upstreams))
-	slices.SortFunc(ids, func(a, b string) int { return t.upstreams[b].Bad() - t.upstreams[a].Bad() })
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(t.upstreams[b].Bad()-t.upstreams[a].Bad(), cmp.Compare(a, b))
+	})
 	for _, id := range ids[:min(len(ids), maxReported)] {
 		e.Upstreams[id] = t.upstreams[id]
 	}
