follow: keep the verdict of a roll-out after a restore of the store

Callers could get a version again that had been rolled back: a store restored from a copy turned the record from rolled_back to running, or to an earlier stage.

Cause: what is kept because it is newer than a copy did not include the record of a roll-out.

The start is compared, too, since a restored store may use a revision again.

--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -114,6 +114,9 @@
 	if size := decoded.fleetSize; size != nil && old.fleetSize != nil && old.fleetSize.instances > size.instances {
 		return old
 	}
+	if r := decoded.rolloutRecord; r != nil && r.record != nil && old.rolloutRecord != nil && old.rolloutRecord.record.Follows(r.record) {
+		return old
+	}
 	u := decoded.Upstream
 	if u == nil {
 		return decoded
--- a/pkg/rollout/rollout.go
+++ b/pkg/rollout/rollout.go
@@ -107,6 +107,15 @@
 // Deadline returns the time at which the verdict is due.
 func (r *Record) Deadline() time.Time { return r.Started.Add(r.Duration) }
 
+// Follows reports whether the record is a later state of the same roll-out: it has a verdict, or a later stage. A store that was
+// restored from a copy may use the revision of an order again, so the start has to be the same, too.
+func (r *Record) Follows(o *Record) bool {
+	if r == nil || r.Order != o.Order || r.Target != o.Target || !r.Started.Equal(o.Started) || o.State != Running {
+		return false
+	}
+	return r.State != Running || r.Stage.Share() > o.Stage.Share()
+}
+
 // Encode returns the stored form of the record.
 func (r *Record) Encode() ([]byte, error) {
 	value, err := json.Marshal(r)
