gateway: do not count attempts after the verdict of a roll-out

Callers saw no wrong answers, but after the first roll-out of a service each request took the lock of the tracker, and its counts grew with every new upstream for as long as the instance ran.

Cause: the tracker of the latest roll-out was used whether or not it had ended.

TestNoTrackerAfterTheVerdict failed before for both verdicts and passes now; TestSameVersionOrderedAgain and TestSecondOrderDuringTheFirst pass.

There is no tracker once the record has a verdict. Attempts that began before end at the tracker that counted them, and the next order has a new one.

--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -103,8 +103,15 @@
 	return p.acquireSide(ctx, r, tracker, false)
 }
 
-// acquireSide chooses an upstream of one version.
+// acquireSide chooses an upstream of one version. Without a tracker the attempt is not counted.
 func (p *placementAdapter) acquireSide(ctx context.Context, r sampled.Request, tracker *rollout.Tracker, toTarget bool) (entry.Permit, error) {
+	if tracker == nil {
+		c, err := p.policy.Choose(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		return permit{Choice: c}, nil
+	}
 	attempt := tracker.Begin(r.Route.Name, r.Route.Target.Std(), toTarget)
 	c, err := p.policy.Choose(ctx, r)
 	if err != nil {
@@ -117,7 +124,7 @@
 
 type permit struct {
 	*sampled.Choice
-	attempt *rollout.Attempt // nil without a roll-out
+	attempt *rollout.Attempt // nil without a running roll-out
 }
 
 // Upstream implements entry.Permit.
--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -245,6 +245,7 @@
 // --- the data path ---
 
 // split returns the upstreams that requests of a pool may use, and the tracker of their attempts; nil without a roll-out.
+// After the verdict there is no tracker.
 func (s *rolloutService) split(pool *table.Pool, now time.Time) (*cachedSides, *rollout.Tracker) {
 	all := s.source.Rollouts()
 	if all == nil {
@@ -270,6 +271,9 @@
 		c = &cachedSides{order: r.Order, record: r.Record, held: held, pool: *pool, Sides: rules.Split(pool)}
 		s.sides[pool.Name] = c
 	}
+	if rules.Final {
+		return c, nil // nobody reads the counts after the verdict
+	}
 	return c, run.tracker
 }
 
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -7,9 +7,13 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/follow"
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/rollout"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 const orderDuration = 14 * time.Second
@@ -312,3 +316,37 @@
 		}
 	})
 }
+
+// storedRollouts is a rolloutSource of a store that does not change.
+type storedRollouts map[string]follow.Rollout
+
+func (r storedRollouts) Rollouts() map[string]follow.Rollout         { return r }
+func (r storedRollouts) Snapshot() *control.Snapshot                 { return &control.Snapshot{} }
+func (r storedRollouts) Granter(string) (id peer.InstanceID, _ bool) { return id, false }
+func (r storedRollouts) Instances() int                              { return 1 }
+func (r storedRollouts) Confirmed() time.Time                        { return time.Now() }
+
+// Guards against attempts that are counted for ever after the verdict, when nobody reads the counts.
+func TestNoTrackerAfterTheVerdict(t *testing.T) {
+	now := time.Now()
+	order := &rollout.Order{Service: "p", Target: "v2", Duration: orderDuration, Revision: 3}
+	running := rollout.Begin(*order, nil, now)
+	for _, c := range []struct {
+		name    string
+		record  rollout.Record
+		tracked bool
+	}{
+		{"running", running, true},
+		{"completed", running.Ended(rollout.Completed, "", now), false},
+		{"rolled back", running.Ended(rollout.RolledBack, "bad", now), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &rolloutService{log: logr.Discard()}
+			s.bind(storedRollouts{"p": {Order: order, Record: &c.record}}, nil, nil)
+			sides, tracker := s.split(&table.Pool{Name: "p", Discover: "p"}, now)
+			if sides == nil || (tracker != nil) != c.tracked {
+				t.Errorf("sides %v, tracker %v", sides, tracker)
+			}
+		})
+	}
+}
