--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// reserve is the time before the deadline that is kept for a slow store.
@@ -36,8 +39,14 @@
 	suspicionTime = 2 * time.Second
 	// lastSuspicionTime replaces it in the last stage, in which a second costs 7 % of all requests of an order of 14 s.
 	lastSuspicionTime = time.Second
-	// silentTime is how long an instance is silent that is taken for dead or cut off.
-	silentTime = 2 * time.Second
+	// exposureShare and exposureSlack bound the requests that a version may get before its last stage, as a share of all that
+	// are expected until the deadline and a number beyond it.
+	exposureShare = 0.1
+	exposureSlack = 50
+	// silentTime is how long an instance is silent that is taken for dead or cut off, at least silentIntervals report intervals:
+	// the time between two reports varies by a quarter, and one report may be lost.
+	silentTime      = 2 * time.Second
+	silentIntervals = 2.5
 	// learnTime is how long a judge that has just begun collects reports before it decides.
 	learnTime = 1500 * time.Millisecond
 	// recentTime is the length of the window in which a late fault shows that is small among all answers since the order.
@@ -76,6 +85,17 @@
 	Used int
 	// Limit is the longest time that a request of the pool may take.
 	Limit time.Duration
+	// Instances is the number of instances that may send requests to the pool, or 0 if this one has no peers.
+	Instances int
+	// ReportInterval is the mean time between two reports of an instance.
+	ReportInterval time.Duration
+	// AllSeen is when the judge's instance first saw the stage all in the store, or zero.
+	AllSeen time.Time
+}
+
+// silentTime returns how long an instance is silent that is taken for dead or cut off.
+func (f Fleet) silentTime() time.Duration {
+	return max(silentTime, time.Duration(silentIntervals*float64(f.ReportInterval)))
 }
 
 // Action is what the judge decides.
@@ -137,6 +157,7 @@
 		j.buckets = j.buckets[1:]
 	}
 	if !older(r.Evidence, last.Evidence) {
+		r.Evidence.Upstreams = withMissing(r.Evidence.Upstreams, last.Evidence.Upstreams)
 		j.buckets[len(j.buckets)-1].add(r.Evidence, last.Evidence)
 		j.all.add(r.Evidence, last.Evidence)
 		j.instances[instance] = heard{r, now}
@@ -149,6 +170,15 @@
 	}
 }
 
+// withMissing returns the counts with those of earlier upstreams that they lack. A report lists a part of the upstreams; the
+// counts of one that is listed again later are not to be added as a whole.
+func withMissing(counts, last map[string]Counts) map[string]Counts {
+	all := make(map[string]Counts, len(last))
+	maps.Copy(all, last)
+	maps.Copy(all, counts)
+	return all
+}
+
 // older reports whether a report was overtaken by a later one.
 func older(next, last Evidence) bool {
 	n, l := next.total(), last.total()
@@ -192,18 +222,22 @@
 func (j *Judge) Instances() int { return len(j.instances) }
 
 // Heard returns the number of instances that have reported lately.
-func (j *Judge) Heard(now time.Time) (n int) {
+func (j *Judge) Heard(now time.Time, f Fleet) (n int) {
 	for _, h := range j.instances {
-		if now.Sub(h.at) < silentTime {
+		if now.Sub(h.at) < f.silentTime() {
 			n++
 		}
 	}
 	return n
 }
 
-// hearsMost reports whether at least half of the instances that have reported do so still. A judge that is cut off from the
-// others but not from the store must not go on with old evidence, or complete while requests of the others run.
-func (j *Judge) hearsMost(now time.Time) bool { return 2*j.Heard(now) >= len(j.instances) }
+// hearsMost reports whether at least half of the instances that have reported do so still, and more than half of all do. A
+// judge that is cut off from the others but not from the store must not go on with old evidence, or complete while requests
+// of the others run. A judge that has just begun may never have heard the others.
+func (j *Judge) hearsMost(now time.Time, f Fleet) bool {
+	heard := j.Heard(now, f)
+	return 2*heard >= len(j.instances) && (f.Instances == 0 || 2*heard > f.Instances)
+}
 
 // Total returns the counts of both versions.
 func (j *Judge) Total() Pair { return j.all.total() }
@@ -222,6 +256,7 @@
 		j.alone = now
 	}
 	alone := !j.alone.IsZero() && now.Sub(j.alone) >= aloneTime
+	justified := finding == inconspicuous && j.hearsMost(now, f)
 	end := r.Deadline().Add(-giveUpTime)
 	switch {
 	case j.condemned != "":
@@ -230,14 +265,16 @@
 		return Decision{RollBack, "the answers of the version stay suspicious"}
 	case now.Sub(j.began) < learnTime && now.Before(end):
 		return Decision{Wait, "collecting reports"}
-	case r.Stage == All && finding == inconspicuous && (j.drained(now, r, f) || alone && !now.Before(end)):
+	case r.Stage == All && justified && (j.drained(now, r, f) || alone && !now.Before(end)):
 		return Decision{Complete, "no request is at an old upstream"}
-	case alone && r.Stage != All && finding == inconspicuous:
+	case alone && r.Stage != All && justified:
 		return Decision{Advance, "no other version is in service"}
-	case !now.Before(end) && !j.alone.IsZero() && !alone:
+	case !now.Before(end) && !j.alone.IsZero() && (!alone || !j.hearsMost(now, f)):
 		return Decision{Wait, "no other version is in service"}
 	case !now.Before(end):
 		return Decision{RollBack, "no verdict before the deadline: " + j.lacks(now, r, f, finding)}
+	case j.alone.IsZero() && j.overexposed(now, r, f):
+		return Decision{RollBack, "the version would get more requests than it may before the last stage: " + j.lacks(now, r, f, finding)}
 	}
 	if lack := j.lacks(now, r, f, finding); lack != "" {
 		return Decision{Wait, lack}
@@ -263,6 +300,32 @@
 	return quarter + quarterTime + halfTime
 }
 
+// overexposed reports whether the version has had more than its share of the requests before the last stage, or the stage
+// quarter or half has outlasted its plan. The last stage may begin later than planned by what reserve exceeds lateReserve.
+func (j *Judge) overexposed(now time.Time, r *Record, f Fleet) bool {
+	if r.Stage == All {
+		return false
+	}
+	total, elapsed := j.all.total(), max(now.Sub(r.Started), time.Second)
+	expected := float64(total.Target.Answers+total.Old.Answers) * max(r.Duration.Seconds()/elapsed.Seconds(), 1)
+	if float64(total.Target.Answers) > exposureShare*expected+exposureSlack {
+		return true
+	}
+	planned := quarterTime
+	switch r.Stage {
+	case Canary:
+		return false
+	case Half:
+		planned = halfTime
+	}
+	// The plan of these two stages does not depend on the rate of requests.
+	planEnd, stageEnd := r.Started.Add(plan(r.Stage, r.Duration, f.Limit, 0)), r.Since.Add(planned)
+	if stageEnd.After(planEnd) {
+		planEnd = stageEnd
+	}
+	return now.Sub(planEnd) > reserve-lateReserve
+}
+
 // lacks returns what is missing for the next stage, or an empty string.
 func (j *Judge) lacks(now time.Time, r *Record, f Fleet, worst finding) string {
 	total := j.all.total()
@@ -273,7 +336,7 @@
 	switch {
 	case f.Target == 0:
 		return "no upstream of the version is warm"
-	case !j.hearsMost(now):
+	case !j.hearsMost(now, f):
 		return "most instances do not report"
 	case worst != inconspicuous:
 		return "the answers of the version are suspicious"
@@ -295,16 +358,18 @@
 }
 
 // drained reports whether no request can be at an old upstream: the longest one has ended, and all instances that are
-// heard say so.
+// heard say so. The time counts from when the stage was seen in the store, since a write may be applied late, and also if the
+// old upstreams have left: requests may still run there.
 func (j *Judge) drained(now time.Time, r *Record, f Fleet) bool {
-	if f.Old > 0 && now.Sub(r.Since) < f.Limit+drainMargin || f.Target == 0 {
-		return false
+	since := r.Since
+	if f.AllSeen.After(since) {
+		since = f.AllSeen
 	}
-	if !j.hearsMost(now) {
+	if now.Sub(since) < f.Limit+drainMargin || f.Target == 0 || !j.hearsMost(now, f) {
 		return false
 	}
 	for _, h := range j.instances {
-		if now.Sub(h.at) < silentTime && !(h.Stage == All && h.Drained && h.at.After(r.Since)) {
+		if now.Sub(h.at) < f.silentTime() && !(h.Stage == All && h.Drained && h.at.After(since)) {
 			return false
 		}
 	}
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -193,6 +193,130 @@
 	}
 }
 
+// Guards against a new judge that is cut off from the other instances, has heard only itself, and advances or completes.
+func TestJudgeThatHasNotHeardMost(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name  string
+		stage Stage
+		old   int
+		now   float64
+		heard int
+		want  Action
+	}{
+		{"canary, most heard", Canary, 40, 6, 6, Advance},
+		{"canary, half heard", Canary, 40, 6, 5, Wait},
+		{"canary, one heard", Canary, 40, 6, 1, Wait},
+		{"all, most heard", All, 40, 11.5, 6, Complete},
+		{"all, half heard", All, 40, 11.5, 5, Wait},
+		{"all, one heard at the deadline", All, 40, 13.3, 1, RollBack},
+		{"no old upstreams, one heard", Canary, 0, 6, 1, Wait},
+		{"no old upstreams, one heard at the deadline", All, 0, 13.3, 1, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(start)
+			fleet := testFleet
+			fleet.Old, fleet.Instances = c.old, 10
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			r.Stage = c.stage
+			for _, now := range []float64{1, c.now - 2, c.now} {
+				for i := range c.heard {
+					j.Report(fmt.Sprint(i), Report{Stage: c.stage, Drained: true, Evidence: evidenceOf(Counts{2000, 0, 2000, 0}, Counts{int(100 + now), 0, 100, 0}, 3)}, at(now-0.1))
+				}
+				d := j.Decide(at(now), &r, fleet)
+				if now == c.now && d.Action != c.want {
+					t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a verdict while requests run at old upstreams: when the write of the last stage is applied late, when the old
+// upstreams are not listed any more, and when the instance that has such requests reports seldom.
+func TestDrainWait(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name     string
+		old      int
+		seen     float64
+		interval time.Duration
+		reported float64 // the time of the report of an instance with requests, or 0
+		now      float64
+		want     Action
+	}{
+		{"waited", 40, 8, 0, 0, 11.2, Complete},
+		{"written late", 40, 9.5, 0, 0, 11.2, Wait},
+		{"written late, waited", 40, 9.5, 0, 0, 12.7, Complete},
+		{"no old upstreams", 0, 8, 0, 0, 10, Wait},
+		{"no old upstreams, waited", 0, 8, 0, 0, 11.2, Complete},
+		{"silent instance", 40, 8, 500 * time.Millisecond, 8.5, 11.2, Complete},
+		{"instance that reports seldom", 40, 8, 1200 * time.Millisecond, 8.5, 11.2, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(start)
+			fleet := testFleet
+			fleet.Old, fleet.AllSeen, fleet.ReportInterval = c.old, at(c.seen), c.interval
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			r.Stage, r.Since = All, at(8)
+			good := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 0, 100, 0}, 3)
+			if c.reported > 0 {
+				j.Report("busy", Report{Stage: All, Evidence: good}, at(c.reported))
+			}
+			for _, instance := range []string{"a", "b"} {
+				j.Report(instance, Report{Stage: All, Drained: true, Evidence: good}, at(c.now-0.1))
+			}
+			if d := j.Decide(at(c.now), &r, fleet); d.Action != c.want {
+				t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a bad version that gets more requests than it may because the stage quarter or half cannot end, or takes more
+// than its share.
+func TestExposureIsBounded(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	evidence := func(old, target int) Evidence {
+		return evidenceOf(Counts{old, 0, old, 0}, Counts{target, 0, target, 0}, 3)
+	}
+	lacking, alone := testFleet, testFleet
+	lacking.Target, alone.Old = 10, 0
+	for _, c := range []struct {
+		name        string
+		stage       Stage
+		since, now  float64
+		old, target int
+		fleet       Fleet
+		want        Action
+	}{
+		{"canary that lasts on", Canary, 0, 9, 1800, 100, lacking, Advance},
+		{"quarter", Quarter, 5.6, 8, 1400, 140, lacking, Wait},
+		{"quarter that lasts on", Quarter, 5.6, 8.8, 1400, 140, lacking, RollBack},
+		{"quarter that began late", Quarter, 8, 8.8, 1400, 140, lacking, Wait},
+		{"half that lasts on", Half, 7.4, 9.6, 1400, 140, lacking, RollBack},
+		{"quarter, many requests", Quarter, 5.6, 7, 1000, 200, testFleet, Wait},
+		{"quarter, too many requests", Quarter, 5.6, 7, 900, 300, testFleet, RollBack},
+		{"all, many requests", All, 8, 9, 900, 900, testFleet, Wait},
+		{"no old upstreams", Half, 7.4, 9.6, 900, 900, alone, Advance},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(start)
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			r.Stage, r.Since = c.stage, at(c.since)
+			j.Report("i", Report{Stage: c.stage, Evidence: evidence(10, 10)}, at(0.5))
+			j.Decide(at(2), &r, c.fleet)
+			j.Report("i", Report{Stage: c.stage, Evidence: evidence(c.old, c.target)}, at(c.now-0.1))
+			if d := j.Decide(at(c.now), &r, c.fleet); d.Action != c.want {
+				t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+			}
+		})
+	}
+}
+
 // Guards against evidence that is counted twice or lost when reports are lost, repeated or reordered, or when an instance
 // restarts.
 func TestReportsAreIdempotent(t *testing.T) {
@@ -207,6 +331,43 @@
 	is.Equal(j.Total().Target.Answers, 23)
 }
 
+// Guards against counts that are added twice for an upstream that a report does not list, as only those with the most bad
+// answers are listed.
+func TestUpstreamsThatReturnToReports(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	j := NewJudge(now)
+	report := func(upstreams map[string]Counts) {
+		j.Report("a", Report{Evidence: Evidence{Upstreams: upstreams}}, now)
+	}
+	first := map[string]Counts{"u1": {10, 4, 10, 0}, "u2": {5, 0, 5, 0}}
+	report(first)
+	report(map[string]Counts{"u2": {6, 5, 6, 0}})
+	report(nil)
+	report(map[string]Counts{"u1": {11, 5, 11, 0}, "u2": {6, 5, 6, 0}})
+	is.Equal(j.all.Upstreams, map[string]Counts{"u1": {11, 5, 11, 0}, "u2": {6, 5, 6, 0}})
+	is.Equal(len(first), 2) // the reports are not changed
+}
+
+// Guards against reports that list other upstreams each time, if many have the same number of bad answers.
+func TestReportedUpstreamsAreStable(t *testing.T) {
+	is := is.New(t)
+	tr := NewTracker()
+	now := time.Unix(1000, 0)
+	for i := range 3 * maxReported {
+		a := tr.Begin("r", time.Second, true)
+		a.Placed(fmt.Sprintf("u%02d", i), false, 1, now)
+		a.End(Succeeded, time.Millisecond)
+	}
+	for range 5 {
+		reported := tr.Report(now, Canary).Evidence.Upstreams
+		is.Equal(len(reported), maxReported)
+		for i := range maxReported {
+			is.Equal(reported[fmt.Sprintf("u%02d", i)].Answers, 1)
+		}
+	}
+}
+
 // Guards against evidence that is not counted: attempts that run for long must show before they end, and once only, and those
 // of cold upstreams say nothing about the time.
 func TestTracker(t *testing.T) {
