rate: carry on when the wall clock is set back

Callers of workspaces with a rate got 429 for as long as the wall clock of their lender was behind its earlier reading, at most until it had caught up.

Cause: every time limit holds on both clocks, so no bucket was filled and no lease expired while the wall clock showed less than before.

Service.clock now keeps an offset: after a backward step the wall clock continues from its last reading at the pace of the monotonic clock. Forward steps are unchanged, so a suspension is still noticed.

--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -62,6 +62,11 @@
 	cfg  Config
 	base time.Time
 	wake chan struct{}
+	read func() Reading // reads both clocks; replaced in tests
+
+	clockMu    sync.Mutex // guards what follows; taken last
+	last       Reading
+	wallOffset time.Duration // sum of the backward steps of the wall clock
 
 	mu       sync.Mutex // guards the borrower
 	borrower *Borrower
@@ -88,6 +93,7 @@
 		cfg: cfg, base: time.Now(), wake: make(chan struct{}, 1), lenders: map[string]peer.InstanceID{}, rules: cfg.Rules, lent: map[string]*Lender{},
 		borrower: NewBorrower(cfg.Rules, cfg.Regions, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
+	s.read = s.readClocks
 	if cfg.Transport != nil {
 		cfg.Transport.Handle(ServiceName, s.handle)
 	}
@@ -157,8 +163,25 @@
 	}
 }
 
-// clock reads both clocks. Round(0) strips the monotonic reading from the wall clock.
+// clock returns the time on both clocks. A wall clock that is set back continues at the pace of the monotonic clock:
+// otherwise, no time would pass on it until it has caught up, so that no bucket fills and no lease expires. Steps forward
+// stay visible, because the process may have been suspended.
 func (s *Service) clock() Reading {
+	s.clockMu.Lock()
+	defer s.clockMu.Unlock()
+	now := s.read()
+	now.Wall += s.wallOffset
+	if now.Wall < s.last.Wall {
+		wall := s.last.Wall + max(now.Mono-s.last.Mono, 0)
+		s.wallOffset += wall - now.Wall
+		now.Wall = wall
+	}
+	s.last = now
+	return now
+}
+
+// readClocks reads both clocks. Round(0) strips the monotonic reading from the wall clock.
+func (s *Service) readClocks() Reading {
 	now := time.Now()
 	return Reading{Mono: now.Sub(s.base), Wall: now.Round(0).Sub(s.base.Round(0))}
 }
