rate: read the clock under the lock in Admit

A request could be sent with a token that had expired, and thus past the rate of its workspace, when the process was suspended while the request waited for the borrower's lock.

Cause: Admit read the clock before it took the lock, so the time of the suspension was not seen. It is now read under the lock, after any wait.

Evidence: TestSuspendedWhileWaitingForTheLock spent a token that had expired during the wait before the change, and passes with it.

--- a/pkg/rate/clock_test.go
+++ b/pkg/rate/clock_test.go
@@ -61,3 +61,36 @@
 		})
 	}
 }
+
+// Guards against expired tokens that are spent by requests which waited for the lock while the process was suspended.
+func TestSuspendedWhileWaitingForTheLock(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{"w", 10, 10}
+	s := NewService(Config{
+		Roles: Alone{}, Region: "north", Instances: func() int { return 1 },
+		Limits: func() []Limit { return []Limit{limit} }, Log: logr.Discard(),
+	})
+	var suspended atomic.Int64
+	s.read = func() Reading {
+		r := s.readClocks()
+		r.Wall += time.Duration(suspended.Load())
+		return r
+	}
+	s.mu.Lock()
+	s.tickBorrower()
+	a := s.borrower.accounts["w"]
+	a.batches = append(a.batches, &batch{sent: s.clock(), lifetime: time.Minute, left: 1, reported: 1})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _, _ = s.Admit(context.Background(), limit, false)
+	}()
+	time.Sleep(100 * time.Millisecond) // Admit reaches the lock
+	suspended.Store(int64(time.Hour))
+	s.mu.Unlock()
+	<-done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.borrower.Stats().Borrowed, uint64(0))
+	is.Equal(s.borrower.Stats().Expired, uint64(1))
+}
--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -194,8 +194,8 @@
 		return func() {}, 0, true
 	}
 	var answer chan Decision
-	now := s.clock() // before the lock, which all requests share
 	s.mu.Lock()
+	now := s.clock() // under the lock: the process may be suspended while the request waits for it
 	if !s.ticked {
 		s.tickBorrower()
 	}
