entry: check the key again once the request has a connection

A request could be sent up to 2 s after its key was removed.

Cause: the key was checked before a connection was requested from the pool, which may wait or dial, and not again before a stale connection's request was repeated on another one. It is now checked after each connection is there; the connection goes back to the pool and the caller gets 401 with outcome not-run.

Evidence: TestKeyRemovedWhileTheRequestWaitsForAConnection and TestKeyRemovedBeforeTheRepeatOnAnotherConnection got 200 before the change and pass with it.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -206,6 +206,11 @@
 			a.stop(failUnreached, errClaimExpired)
 			return
 		}
+		if a.x.keyRevoked() { // checked again, because getting a connection may take seconds
+			pool.put(conn)
+			a.stop(failPlacement, errKeyRevoked)
+			return
+		}
 		a.conn = conn
 		a.exchange()
 		stale := a.resp == nil && !a.sent && conn.reused && try < maxStaleConns && a.ctx.Err() == nil && a.x.body.rewind()
