rate: admit late requests while tokens are left

A request that was late for its target got 429 for a second after a refusal, although its instance had tokens of the workspace, which could expire unused.

Cause: Borrower.Yield only looked at the last refusal. It now lets the request through while an unexpired batch has tokens; Take spends them as before.

--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -268,12 +268,17 @@
 
 // Yield refuses a request that comes too late for its target, while tokens of its workspace are scarce. The load that it
 // answers: a workspace asks for several times its limit, and callers whose requests were refused come back. Without it,
-// most tokens go to them, and requests that could still meet their target are refused.
+// most tokens go to them, and requests that could still meet their target are refused. Tokens that this instance already
+// has are spent on late requests as well, because they might expire unused otherwise.
 func (b *Borrower) Yield(now Reading, limit Limit) (Decision, bool) {
 	a := b.accounts[limit.Name]
 	if a == nil || !a.refused || longest(a.refusedAt, now) >= scarceTime {
 		return Decision{}, false
 	}
+	b.expire(a, now)
+	if slices.ContainsFunc(a.batches, func(t *batch) bool { return t.left > 0 }) {
+		return Decision{}, false
+	}
 	a.count(now)
 	b.stats.OverLimit++
 	return Decision{Verdict: OverLimit, RetryAfter: scarceTime + b.spread(scarceTime)}, true
--- a/pkg/rate/yield_test.go
+++ b/pkg/rate/yield_test.go
@@ -83,3 +83,25 @@
 	is.True(inTime >= admitted*9/10)
 	is.True(before < all*9/10)
 }
+
+// Guards against late requests that are refused although the workspace has tokens at this instance, which then expire
+// unused, and against tokens that count although their lifetime has passed.
+func TestLateRequestsMayUseTokensThatAreLeft(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Name: "w", Rate: 40, Burst: 40}
+	b := borrow(true)
+	now := at(10 * time.Second)
+	a := b.account(now, limit)
+	a.refused, a.refusedAt = true, now
+	_, refused := b.Yield(now, limit)
+	is.True(refused) // without tokens
+	a.batches = append(a.batches, &batch{sent: now, lifetime: leaseTime, leased: true, left: 1, reported: 1})
+	_, refused = b.Yield(now, limit)
+	is.True(!refused)
+	is.Equal(b.Take(now, limit, nil).Verdict, Admitted)
+	_, refused = b.Yield(now, limit)
+	is.True(refused) // the token is used
+	a.batches = []*batch{{sent: now, lifetime: askTime, left: 1, reported: 1}}
+	_, refused = b.Yield(at(now.Mono+askTime), limit)
+	is.True(refused) // the token has expired
+}
