entry: second copies take a token of the workspace's rate

With the hedging setting, upstreams got more requests of a workspace than its rate permits, by up to the percentage of second copies.

Cause: only the first copy of a request asked for a token. HedgeRequest now has TakeRate, which takes a token that the instance already has and never waits (InstantRates.AdmitNow, Borrower.TakeNow). Hedger.Decide asks for it last, and returns both budgets if there is none, so that no copy is sent without a token and no token is used for a copy that another reason forbids. The refusal is counted with the reason "rate". A copy that finds no upstream returns its token. Without the setting nothing changes.

TestTakeNowUsesOnlyTokensThatAreLeft covers the new method of the borrower.

--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -264,6 +264,9 @@
 	Deadline time.Time
 	// Suspect is set if an upstream was lost under the request.
 	Suspect bool
+	// TakeRate takes a token of the workspace's rate, if there is one at once. The planner calls it last, and sends no copy
+	// without a token. It is nil if the request needs none.
+	TakeRate func() bool
 }
 
 // HedgePlan is the decision on a second copy.
--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -16,8 +16,16 @@
 	Admit(ctx context.Context, w *table.Workspace, late bool) (release func(), retryAfter time.Duration, ok bool)
 }
 
-// admitRate asks for the permission to send the request, if its workspace has a rate. Further attempts need no other
-// permission, because a rate counts the requests of callers.
+// InstantRates is a Rates that also decides without waiting.
+type InstantRates interface {
+	Rates
+	// AdmitNow takes a token of the workspace, if this instance has one, and reports whether it did. release is called
+	// when the token turns out not to be needed.
+	AdmitNow(w *table.Workspace) (release func(), ok bool)
+}
+
+// admitRate asks for the permission to send the request, if its workspace has a rate. Retries need no other
+// permission, because a rate counts the requests of callers. Second copies need one each, see planHedge.
 func (x *exchange) admitRate() *Refusal {
 	if x.e.ports.Rates == nil || !(x.workspaceRate() > 0) {
 		return nil
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -159,28 +159,32 @@
 	}
 	x.forbid1xx()
 	results := make(chan *attempt, 2)
-	start := func(h http.Header, hedge bool, avoid []string) *attempt {
+	start := func(h http.Header, hedge bool, avoid []string, notSent func()) *attempt {
 		a := x.newAttempt(h, x.deadline)
 		a.hedged, a.hedgeAvoid = true, avoid
 		go func() {
 			defer func() { results <- a }()
 			defer a.recoverRun()
 			a.run(hedge)
+			if a.fail != failNone && !a.sent {
+				notSent()
+			}
 		}()
 		return a
 	}
 	second := maps.Clone(header)
-	first := start(header, false, nil)
+	first := start(header, false, nil, func() {})
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	var plan HedgePlan
+	var releaseRate func()
 	for {
 		select {
 		case a := <-results:
 			return a
 		case <-timer.C:
 		}
-		if plan = x.planHedge(first); plan.Send || plan.Wait <= 0 {
+		if plan, releaseRate = x.planHedge(first); plan.Send || plan.Wait <= 0 {
 			break
 		}
 		timer.Reset(plan.Wait)
@@ -189,14 +193,16 @@
 		return <-results
 	}
 	x.e.metrics.hedges(x.pool.Name).Inc()
-	return x.awaitWinner(results, first, start(second, true, plan.Avoid))
+	return x.awaitWinner(results, first, start(second, true, plan.Avoid, releaseRate))
 }
 
-// planHedge decides on the second copy after the delay.
-func (x *exchange) planHedge(first *attempt) HedgePlan {
+// planHedge decides on the second copy after the delay. A planned copy takes a token of the workspace's rate, because no
+// more copies than that may be sent. releaseRate returns the token if the copy is not sent.
+func (x *exchange) planHedge(first *attempt) (plan HedgePlan, releaseRate func()) {
+	releaseRate = func() {}
 	planner, ok := x.e.ports.Hedger.(HedgePlanner)
 	if !ok {
-		return HedgePlan{Send: x.e.ports.Hedger.Take(&x.pool, &x.route)}
+		return HedgePlan{Send: x.e.ports.Hedger.Take(&x.pool, &x.route)}, releaseRate
 	}
 	pool := x.currentPool()
 	r := HedgeRequest{Pool: &pool, Route: &x.route, Deadline: x.deadline, Suspect: x.becameSuspect()}
@@ -205,7 +211,19 @@
 		r.Upstream = first.upstream
 	}
 	x.mu.Unlock()
-	return planner.Plan(r)
+	if rates, ok := x.e.ports.Rates.(InstantRates); ok && x.workspaceRate() > 0 {
+		r.TakeRate = func() bool {
+			release, taken := rates.AdmitNow(x.keyWorkspace)
+			if taken {
+				releaseRate = release
+			}
+			return taken
+		}
+	}
+	if plan = planner.Plan(r); !plan.Send {
+		releaseRate()
+	}
+	return plan, releaseRate
 }
 
 // becameSuspect reports whether an upstream was lost under the request since it was admitted, for instance one that another
--- a/internal/gateway/hedging.go
+++ b/internal/gateway/hedging.go
@@ -47,7 +47,7 @@
 // Plan implements entry.HedgePlanner.
 func (h *hedging) Plan(r entry.HedgeRequest) entry.HedgePlan {
 	reason, wait := h.decider.Decide(r.Pool.Name, r.Route.Name, hedge.State{
-		Placed: r.Placed, Deadline: r.Deadline, Target: r.Route.Target.Std(), Suspect: r.Suspect, Crowded: h.crowded(r.Pool.Name),
+		Placed: r.Placed, Deadline: r.Deadline, Target: r.Route.Target.Std(), Suspect: r.Suspect, Crowded: h.crowded(r.Pool.Name), TakeRate: r.TakeRate,
 	}, h.poolBudget(r.Pool.Name), time.Now())
 	if reason == hedge.Waiting {
 		return entry.HedgePlan{Wait: wait}
--- a/internal/gateway/hedging_test.go
+++ b/internal/gateway/hedging_test.go
@@ -192,3 +192,20 @@
 		}
 	}
 }
+
+// Guards against a planner that does not ask for a token of the workspace's rate.
+func TestSecondCopyNeedsATokenOfTheRate(t *testing.T) {
+	is := is.New(t)
+	for _, token := range []bool{false, true} {
+		h := newTestHedging(settings.Hedging{Percent: 100, Reserve: 1000}, false)
+		for range 1000 { // fills the budgets
+			h.Request(hedgedPool, hedgedRoute)
+		}
+		now := time.Now()
+		plan := h.Plan(entry.HedgeRequest{
+			Pool: hedgedPool, Route: hedgedRoute, Upstream: hedgedPool.Upstreams[0], Placed: now.Add(-time.Second), Deadline: now.Add(time.Minute),
+			TakeRate: func() bool { return token },
+		})
+		is.Equal(plan.Send, token)
+	}
+}
--- a/internal/gateway/rates.go
+++ b/internal/gateway/rates.go
@@ -31,7 +31,7 @@
 var (
 	_ kernel.Provisioner = (*ratesService)(nil)
 	_ kernel.Runner      = (*ratesService)(nil)
-	_ entry.Rates        = (*ratesService)(nil)
+	_ entry.InstantRates = (*ratesService)(nil)
 )
 
 // Provision implements kernel.Provisioner.
@@ -103,3 +103,8 @@
 func (s *ratesService) Admit(ctx context.Context, w *table.Workspace, late bool) (release func(), retryAfter time.Duration, ok bool) {
 	return s.Service.Admit(ctx, limitOf(w), late)
 }
+
+// AdmitNow implements entry.InstantRates.
+func (s *ratesService) AdmitNow(w *table.Workspace) (release func(), ok bool) {
+	return s.Service.AdmitNow(limitOf(w))
+}
--- a/pkg/hedge/decide.go
+++ b/pkg/hedge/decide.go
@@ -14,10 +14,11 @@
 	Crowded     Reason = "crowded"      // the pool is overloaded or mostly full
 	Limit       Reason = "limit"        // the operator's limit is used up
 	RetryBudget Reason = "retry-budget" // the retry budget of the pool is used up
+	Rate        Reason = "rate"         // the workspace's rate has no token at this instance
 )
 
 // Reasons lists the final reasons.
-func Reasons() []Reason { return []Reason{Sent, Late, Suspect, Crowded, Limit, RetryBudget} }
+func Reasons() []Reason { return []Reason{Sent, Late, Suspect, Crowded, Limit, RetryBudget, Rate} }
 
 // State is what is known about a request without an answer.
 type State struct {
@@ -31,6 +32,8 @@
 	Suspect bool
 	// Crowded is set while the pool is overloaded or mostly full.
 	Crowded bool
+	// TakeRate takes a token of the workspace's rate, if there is one at once. It is nil if the request needs none.
+	TakeRate func() bool
 }
 
 // judge decides everything but the budgets. With Waiting, it returns the time to wait before the next decision.
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -99,6 +99,30 @@
 	is.True(!retries.Take()) // the second copy took one of two
 }
 
+// Guards against second copies without a token of their workspace's rate, against tokens that are taken for copies which
+// another reason forbids, and against budgets that pay for a copy without a token.
+func TestRateDecidesLast(t *testing.T) {
+	is := is.New(t)
+	h := New(Limits{Percent: 100, Reserve: 1}, fixed(1))
+	s, now := State{Placed: epoch, Target: time.Second, Deadline: epoch.Add(time.Hour)}, epoch.Add(time.Minute)
+	retries := retry.NewBudget(100, 3)
+	asked, token := 0, false
+	s.TakeRate = func() bool { asked++; return token }
+	h.Request("p", "r")
+	reason, _ := h.Decide("p", "r", s, retries, now)
+	is.Equal(reason, RetryBudget)
+	is.Equal(asked, 0)
+	retries.Request()
+	retries.Request()
+	reason, _ = h.Decide("p", "r", s, retries, now)
+	is.Equal(reason, Rate)
+	is.Equal(retries.Left(), 2.0)
+	token = true
+	reason, _ = h.Decide("p", "r", s, retries, now)
+	is.Equal(reason, Sent) // the limit was returned, too
+	is.Equal(asked, 2)
+}
+
 // Guards against second copies in the moments of lasting overload in which the pool does not look crowded, and against a pool
 // that stays crowded, or one that makes others crowded.
 func TestPoolStaysCrowdedForAWhile(t *testing.T) {
--- a/pkg/hedge/hedger.go
+++ b/pkg/hedge/hedger.go
@@ -69,6 +69,11 @@
 		budget.Return()
 		return RetryBudget, 0
 	}
+	if s.TakeRate != nil && !s.TakeRate() {
+		budget.Return()
+		retries.Return()
+		return Rate, 0
+	}
 	return Sent, 0
 }
 
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -266,6 +266,19 @@
 	return Decision{Verdict: Wait, Waiter: w}
 }
 
+// TakeNow takes a token for one request, if this instance has one, and reports whether it did.
+func (b *Borrower) TakeNow(now Reading, limit Limit) (Decision, bool) {
+	a := b.account(now, limit)
+	if a == nil {
+		return Decision{}, false
+	}
+	d, ok := b.spend(a, now)
+	if ok {
+		a.count(now)
+	}
+	return d, ok
+}
+
 // Yield refuses a request that comes too late for its target, while tokens of its workspace are scarce. The load that it
 // answers: a workspace asks for several times its limit, and callers whose requests were refused come back. Without it,
 // most tokens go to them, and requests that could still meet their target are refused. Tokens that this instance already
--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -219,6 +219,21 @@
 	return func() { s.release(d.Token) }, 0, true
 }
 
+// AdmitNow takes a token for one request of a workspace, if there is one at once, and reports whether it did. A request
+// that was then sent nowhere calls release.
+func (s *Service) AdmitNow(limit Limit) (release func(), ok bool) {
+	if !(limit.Rate > 0) {
+		return func() {}, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ticked {
+		s.tickBorrower()
+	}
+	d, ok := s.borrower.TakeNow(s.clock(), limit)
+	return func() { s.release(d.Token) }, ok
+}
+
 func (s *Service) await(ctx context.Context, w *Waiter, answer <-chan Decision) Decision {
 	select {
 	case s.wake <- struct{}{}:
--- a/pkg/rate/yield_test.go
+++ b/pkg/rate/yield_test.go
@@ -105,3 +105,20 @@
 	_, refused = b.Yield(at(now.Mono+askTime), limit)
 	is.True(refused) // the token has expired
 }
+
+// Guards against a second copy that waits for a token or is sent without one, and against a token that is taken twice.
+func TestTakeNowUsesOnlyTokensThatAreLeft(t *testing.T) {
+	is := is.New(t)
+	limit := Limit{Name: "w", Rate: 40, Burst: 40}
+	b := borrow(true)
+	now := at(time.Second) // before it may use its own share
+	_, ok := b.TakeNow(now, limit)
+	is.True(!ok)
+	a := b.account(now, limit)
+	is.Equal(len(a.waiting), 0)
+	a.batches = append(a.batches, &batch{sent: now, lifetime: leaseTime, leased: true, left: 1, reported: 1})
+	d, ok := b.TakeNow(now, limit)
+	is.True(ok && d.Verdict == Admitted)
+	_, ok = b.TakeNow(now, limit)
+	is.True(!ok)
+}
