entry: remove Turmericsail-Relayed-Workspace from callers' requests

An upstream could receive a Turmericsail-Relayed-Workspace header or trailer that a caller made up, although docs/design/workspaces.md says that entries remove it.

Cause: it was only removed from relayed requests. It is now removed wherever the tables have workspaces; the relaying entry sets its own value afterwards. Without workspaces nothing changes.

Evidence: the cases added to TestKeysAdmitRequests and TestKeyInUnusualPlaces failed before the change and pass with it; TestRelayedRequestsNameTheWorkspace and TestWithoutWorkspacesNothingChanges still pass.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -261,6 +261,7 @@
 		req.Trailer = trailerNames(x.r.Trailer)
 		if x.keyed {
 			delete(req.Trailer, x.e.proto.Workspace)
+			delete(req.Trailer, HeaderRelayedWorkspace)
 		}
 		var err error
 		if a.body, err = x.body.open(req.Trailer, a.conn.counted.lost); err != nil {
--- a/internal/entry/workspace.go
+++ b/internal/entry/workspace.go
@@ -68,7 +68,7 @@
 
 // setWorkspace replaces the key in the header of a request to an upstream by the name of the workspace.
 func (x *exchange) setWorkspace(h http.Header) {
-	if x.relayed {
+	if x.relayed || x.keyed { // a caller may have sent it as well
 		delete(h, HeaderRelayedWorkspace)
 	}
 	if !x.keyed {
--- a/internal/entry/workspace_test.go
+++ b/internal/entry/workspace_test.go
@@ -107,6 +107,7 @@
 			is.Equal(seen.Values("Authorization"), nil)
 			is.Equal(seen.Get(HeaderWorkspace), c.workspace)
 			is.Equal(len(seen.Values(HeaderWorkspace)), min(len(c.workspace), 1))
+			is.Equal(seen.Values(HeaderRelayedWorkspace), nil)
 		})
 	}
 }
@@ -128,7 +129,7 @@
 	req, err = http.NewRequest("PUT", h.url, io.MultiReader(strings.NewReader("body"))) // of unknown length, so chunked
 	is.NoErr(err)
 	req.Header.Set("Authorization", "Bearer good")
-	req.Trailer = http.Header{HeaderWorkspace: {"other"}, "X-Sum": {"1"}}
+	req.Trailer = http.Header{HeaderWorkspace: {"other"}, HeaderRelayedWorkspace: {"other"}, "X-Sum": {"1"}}
 	resp, err = h.client.Do(req)
 	is.NoErr(err)
 	_ = resp.Body.Close()
