--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -206,6 +206,11 @@
 			a.stop(failUnreached, errClaimExpired)
 			return
 		}
+		if a.x.keyRevoked() { // checked again, because getting a connection may take seconds
+			pool.put(conn)
+			a.stop(failPlacement, errKeyRevoked)
+			return
+		}
 		a.conn = conn
 		a.exchange()
 		stale := a.resp == nil && !a.sent && conn.reused && try < maxStaleConns && a.ctx.Err() == nil && a.x.body.rewind()
@@ -256,6 +261,7 @@
 		req.Trailer = trailerNames(x.r.Trailer)
 		if x.keyed {
 			delete(req.Trailer, x.e.proto.Workspace)
+			delete(req.Trailer, HeaderRelayedWorkspace)
 		}
 		var err error
 		if a.body, err = x.body.open(req.Trailer, a.conn.counted.lost); err != nil {
