entry: keep half of the memory of requests free of buffered answers

Callers would see 503 memory-in-use on ordinary requests for as long as a few others read long answers slowly.

Cause: buffering the start of an answer reserved memory down to the last 64 KiB of the budget, up to 2 MiB for each answer, and held it until the request ended.

Evidence: TestSlowReadersLeaveMemoryToOthers (30 readers, budget 2 MiB) got 503 for the ordinary request, and TestBufferedMemoryIsReturnedAsItIsWritten saw the memory still reserved 5 s after the buffered part was written. Both pass now.

An answer is buffered only while at most half of the budget is in use, and each piece returns its memory once it has been written. An answer that is not buffered is streamed, which only gives up its repeat if it breaks off. A response that broke off while it was buffered returns its memory before the request is retried.

--- a/internal/callers/budget.go
+++ b/internal/callers/budget.go
@@ -15,8 +15,11 @@
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
 // Take reserves n bytes and reports success. A reservation that does not fit reserves nothing.
-func (b *Budget) Take(n int64) bool {
-	if b.used.Add(n) <= b.limit {
+func (b *Budget) Take(n int64) bool { return b.TakeUpTo(n, b.limit) }
+
+// TakeUpTo is Take with a limit of its own, which leaves the rest of the budget to others.
+func (b *Budget) TakeUpTo(n, limit int64) bool {
+	if b.used.Add(n) <= limit {
 		return true
 	}
 	b.used.Add(-n)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -316,23 +316,30 @@
 const bufferStep = 32 << 10
 
 // buffer reads the start of the response to an idempotent request, if the protocol asks for it, so
-// that the request can still be retried if the upstream breaks off early. It stops when the memory of requests is in use.
+// that the request can still be retried if the upstream breaks off early. It stops when half of the memory of requests is
+// in use.
 func (a *attempt) buffer() {
 	limit := a.x.e.proto.BufferResponse
 	if a.fail != failNone || limit == 0 || a.x.body != nil || !a.x.route.IsIdempotent(a.x.r.Method) {
 		return
 	}
-	var start bytes.Buffer
+	start := &bufferedStart{x: a.x}
 	var err error
-	for err == nil && start.Len() < limit {
-		step := min(limit-start.Len(), bufferStep)
-		if !a.x.reserveMore(2 * int64(step)) { // a growing buffer holds its contents twice
+	size := int64(0)
+	for err == nil && size < int64(limit) {
+		step := min(int64(limit)-size, bufferStep)
+		if !a.x.reserveBuffer(2 * step) { // a growing buffer holds its contents twice
 			break
 		}
-		_, err = io.CopyN(&start, a.resp.Body, int64(step))
+		piece := bufferedPiece{reserved: 2 * step}
+		var n int64
+		n, err = io.CopyN(&piece.data, a.resp.Body, step)
+		size += n
+		start.pieces = append(start.pieces, piece)
 	}
 	if err != nil && err != io.EOF {
-		a.bytesDown = int64(start.Len())
+		start.discard()
+		a.bytesDown = size
 		a.stop(failLost, err)
 		return
 	}
@@ -343,7 +350,45 @@
 	a.resp.Body = struct {
 		io.Reader
 		io.Closer
-	}{io.MultiReader(&start, body), body}
+	}{io.MultiReader(start, body), body}
+}
+
+// bufferedStart reads the buffered start of a response and releases the memory of each piece once it has been read.
+type bufferedStart struct {
+	x      *exchange
+	pieces []bufferedPiece
+}
+
+type bufferedPiece struct {
+	data     bytes.Buffer
+	reserved int64 // memory in bytes
+}
+
+var _ io.Reader = (*bufferedStart)(nil)
+
+// Read implements io.Reader. What was read before has been written to the caller by then, so an empty piece is released.
+func (b *bufferedStart) Read(p []byte) (int, error) {
+	for len(b.pieces) > 0 {
+		if n, err := b.pieces[0].data.Read(p); err == nil {
+			return n, nil
+		}
+		b.release()
+	}
+	return 0, io.EOF
+}
+
+// release releases the first piece.
+func (b *bufferedStart) release() {
+	b.x.releaseBuffer(b.pieces[0].reserved)
+	b.pieces[0] = bufferedPiece{}
+	b.pieces = b.pieces[1:]
+}
+
+// discard releases all pieces.
+func (b *bufferedStart) discard() {
+	for len(b.pieces) > 0 {
+		b.release()
+	}
 }
 
 func (a *attempt) classifyStatus() {
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -162,15 +162,25 @@
 	return refuseMemory()
 }
 
-// reserveMore reserves memory beyond that of reserve and reports success.
-func (x *exchange) reserveMore(n int64) bool {
-	if !x.e.budget.Take(n) {
+// bufferShare is the part of requestMemory that may be in use for an answer to be buffered still: a half. Slow readers
+// of buffered answers would otherwise leave no memory for other requests.
+const bufferShare = 2
+
+// reserveBuffer reserves memory for a part of an answer and reports success.
+func (x *exchange) reserveBuffer(n int64) bool {
+	if !x.e.budget.TakeUpTo(n, x.e.budget.Limit()/bufferShare) {
 		return false
 	}
 	x.reserved += n
 	return true
 }
 
+// releaseBuffer returns memory that reserveBuffer reserved.
+func (x *exchange) releaseBuffer(n int64) {
+	x.reserved -= n
+	x.e.budget.Give(n)
+}
+
 // releaseMemory returns what the request has reserved.
 func (x *exchange) releaseMemory() {
 	if x.reservedFrom != nil {
--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -141,3 +141,62 @@
 	h.entry.refusals.Take(1)
 	is.True(h.do("GET", "/", nil).err != nil)
 }
+
+// endlessAnswer writes an answer without end to requests for /long and a short one to others.
+func endlessAnswer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/long" {
+		return
+	}
+	for piece, err := make([]byte, 32<<10), error(nil); err == nil; {
+		_, err = w.Write(piece)
+	}
+}
+
+// withBuffering buffers up to n bytes of an answer.
+func withBuffering(n int) option {
+	proto := DefaultProtocol()
+	proto.BufferResponse = n
+	return withPorts(func(p *Ports) { p.Protocol = &proto })
+}
+
+// requestLong sends a request for /long and reads n bytes of its answer.
+func (h *harness) requestLong(n int64) net.Conn {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err = io.WriteString(conn, "GET /long HTTP/1.1\r\nHost: x\r\n\r\n"); err == nil {
+		_, err = io.CopyN(io.Discard, conn, n)
+	}
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return conn
+}
+
+// Guards against ordinary callers that are refused because the buffered answers of slow readers use up the memory of
+// requests.
+func TestSlowReadersLeaveMemoryToOthers(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(endlessAnswer))}, withBudget(2<<20), withBuffering(1<<20))
+	for range 30 {
+		h.requestLong(1) // its first byte is sent after the answer was buffered
+	}
+	r := h.do("GET", "/", nil)
+	is.NoErr(r.err)
+	is.Equal(r.status, 200)
+}
+
+// Guards against a buffered answer whose memory stays reserved after it was written, for as long as the rest is read.
+func TestBufferedMemoryIsReturnedAsItIsWritten(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(endlessAnswer))}, withBudget(64<<20), withBuffering(1<<20))
+	conn := h.requestLong(4 << 20)
+	until(t, func() bool { return h.entry.CallerUse().MemoryBytes <= 32<<10 })
+	is.Equal(h.entry.running.Load(), int64(1))
+	is.NoErr(conn.Close())
+	until(t, func() bool { return h.entry.CallerUse().MemoryBytes == 0 })
+}
