entry: return what body bytes were charged as header lines

Callers would see 503 memory-in-use, or closed connections, while a few dozen small POST requests inside the limits are running.

Cause: net/http reads the start of a body together with the end of the header section. These bytes were charged as part of the section, at 256 bytes for each line feed, until the request ended.

Evidence: TestBodyIsNotChargedAsHeaderLines (a body of 3,800 bytes in lines of two bytes, sent together with its header section) saw more memory reserved than the request, its body and its header section cost. It passes now.

Once the section is parsed, its cost is known, and what was charged beyond it is returned. The body is charged separately, as before. Conn.Trim replaces Conn.Charged; the tests of the package read the field.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -212,11 +212,16 @@
 	c.sectionEnd = time.Time{}
 }
 
-// Charged returns the memory that is reserved for the header section of the request that the connection carries.
-func (c *Conn) Charged() int64 {
+// Trim returns what was reserved beyond the cost of the header section as parsed, and reports what remains reserved.
+// The bytes that were read together with the end of a section belong to the body, and were counted as header lines.
+func (c *Conn) Trim(cost int64) (charged int64) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.charged
+	excess := max(c.charged-cost, 0)
+	c.charged -= excess
+	charged = c.charged
+	c.mu.Unlock()
+	c.sections.Budget.Give(excess)
+	return charged
 }
 
 // Close implements net.Conn.
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -57,7 +57,7 @@
 			is.Equal(s.Budget.Used(), c.want)
 			conn.Enter(PhaseActive)
 			is.NoErr(feed(conn, client, "body\n"))
-			is.Equal(conn.Charged(), c.want)
+			is.Equal(conn.charged, c.want)
 			conn.Enter(PhaseIdle)
 			is.Equal(s.Budget.Used(), int64(0))
 			is.NoErr(feed(conn, client, "GET /"))
@@ -88,7 +88,7 @@
 	is.True(err != nil)
 	is.True(errors.Is(feed(ordinary, c3, text), net.ErrClosed)) // it is the oldest itself now
 	is.NoErr(feed(active, c1, text))
-	is.Equal(active.Charged(), SectionCost(20, 0))
+	is.Equal(active.charged, SectionCost(20, 0))
 }
 
 // Guards against a header section that net/http buffers beyond the limit.
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -140,7 +140,7 @@
 func (x *exchange) reserve() *Refusal {
 	cost := callers.SectionCost(headerSize(x.r), headerLines(x.r))
 	if c, _ := x.r.Context().Value(callerConnKey{}).(*callers.Conn); c != nil {
-		cost = max(cost-c.Charged(), 0)
+		cost -= c.Trim(cost)
 	}
 	cost += requestCost
 	if hasBody(x.r) && !x.needsRelay {
--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -200,3 +201,24 @@
 	is.NoErr(conn.Close())
 	until(t, func() bool { return h.entry.CallerUse().MemoryBytes == 0 })
 }
+
+// Guards against body bytes that are charged as header lines until the request ends, because they were received
+// together with its header section.
+func TestBodyIsNotChargedAsHeaderLines(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	used := make(chan int64, 1)
+	h = newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { used <- h.entry.CallerUse().MemoryBytes }))}, withBudget(1<<20))
+	conn, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+	body := strings.Repeat("a\n", 1900)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, conn, 1)
+	is.NoErr(err)
+	is.True(<-used <= requestCost+int64(len(body))+callers.SectionCost(200, 4))
+	is.NoErr(conn.Close())
+	until(t, func() bool { return h.entry.CallerUse().MemoryBytes == 0 })
+}
