--- a/internal/entry/clients_test.go
+++ b/internal/entry/clients_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -141,3 +142,83 @@
 	h.entry.refusals.Take(1)
 	is.True(h.do("GET", "/", nil).err != nil)
 }
+
+// endlessAnswer writes an answer without end to requests for /long and a short one to others.
+func endlessAnswer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/long" {
+		return
+	}
+	for piece, err := make([]byte, 32<<10), error(nil); err == nil; {
+		_, err = w.Write(piece)
+	}
+}
+
+// withBuffering buffers up to n bytes of an answer.
+func withBuffering(n int) option {
+	proto := DefaultProtocol()
+	proto.BufferResponse = n
+	return withPorts(func(p *Ports) { p.Protocol = &proto })
+}
+
+// requestLong sends a request for /long and reads n bytes of its answer.
+func (h *harness) requestLong(n int64) net.Conn {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.addr)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err = io.WriteString(conn, "GET /long HTTP/1.1\r\nHost: x\r\n\r\n"); err == nil {
+		_, err = io.CopyN(io.Discard, conn, n)
+	}
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return conn
+}
+
+// Guards against ordinary callers that are refused because the buffered answers of slow readers use up the memory of
+// requests.
+func TestSlowReadersLeaveMemoryToOthers(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(endlessAnswer))}, withBudget(2<<20), withBuffering(1<<20))
+	for range 30 {
+		h.requestLong(1) // its first byte is sent after the answer was buffered
+	}
+	r := h.do("GET", "/", nil)
+	is.NoErr(r.err)
+	is.Equal(r.status, 200)
+}
+
+// Guards against a buffered answer whose memory stays reserved after it was written, for as long as the rest is read.
+func TestBufferedMemoryIsReturnedAsItIsWritten(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(endlessAnswer))}, withBudget(64<<20), withBuffering(1<<20))
+	conn := h.requestLong(4 << 20)
+	until(t, func() bool { return h.entry.CallerUse().MemoryBytes <= 32<<10 })
+	is.Equal(h.entry.running.Load(), int64(1))
+	is.NoErr(conn.Close())
+	until(t, func() bool { return h.entry.CallerUse().MemoryBytes == 0 })
+}
+
+// Guards against body bytes that are charged as header lines until the request ends, because they were received
+// together with its header section.
+func TestBodyIsNotChargedAsHeaderLines(t *testing.T) {
+	is := is.New(t)
+	var h *harness
+	used := make(chan int64, 1)
+	h = newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { used <- h.entry.CallerUse().MemoryBytes }))}, withBudget(1<<20))
+	conn, err := net.Dial("tcp", h.addr)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
+	body := strings.Repeat("a\n", 1900)
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	is.NoErr(err)
+	_, err = io.CopyN(io.Discard, conn, 1)
+	is.NoErr(err)
+	is.True(<-used <= requestCost+int64(len(body))+callers.SectionCost(200, 4))
+	is.NoErr(conn.Close())
+	until(t, func() bool { return h.entry.CallerUse().MemoryBytes == 0 })
+}
