rate, rollout, quarantine: usual names for shares and findings

delegated for a share that a lender lends, and names that say what the judge compares and lacks. No change of behaviour; the tests of the three packages pass.

--- a/pkg/quarantine/outbox.go
+++ b/pkg/quarantine/outbox.go
@@ -68,7 +68,7 @@
 	again    []int64            // earlier positions of events whose call failed, in ascending order
 	reported map[int64]struct{} // positions from next on of events that it has reported itself
 	told     int64              // events of other instances before this position are sent to it although nothing is forwarded
-	refusals bool               // it is to be told the refusals in force
+	refusals bool               // the refusals in force are still to be sent to it
 	joined   bool               // it has been present
 	present  bool
 	lastSeen time.Time
@@ -133,7 +133,7 @@
 	c.reported[position] = struct{}{}
 }
 
-// see remembers an event that is no news and is not sent on.
+// see remembers an event that is already known and is not passed on.
 func (o *outbox) see(now time.Time, id uint64) {
 	if id != 0 {
 		o.remember(id, seenEvent{-1, now})
@@ -141,7 +141,7 @@
 }
 
 // remember keeps the ID of an event. If there are too many, it forgets one that is no longer in the log; should that
-// event come again, the table decides whether it is news.
+// event come again, the table decides whether it is already known.
 func (o *outbox) remember(id uint64, s seenEvent) {
 	if len(o.seen) >= maxSeen {
 		for old, e := range o.seen {
--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -76,11 +76,11 @@
 	since Reading // when the link began
 
 	// The share of this instance.
-	gaveUp   bool            // it was given up, at least until standingTime after received
-	donee    peer.InstanceID // the lender to which
-	stamp    *peerpb.RateStamp
-	received Reading
-	echoed   bool // the lender was told
+	delegated   bool            // a lender lends it, at least until standingTime after received
+	delegatedTo peer.InstanceID // that lender
+	stamp       *peerpb.RateStamp
+	received    Reading
+	echoed      bool // the lender was told
 
 	// The move to a preferred lender while this one answers.
 	moving  bool
@@ -178,7 +178,7 @@
 func (b *Borrower) link(now Reading, region string) *link {
 	l := b.links[region]
 	if l == nil {
-		l = &link{region: region, order: append([]string{region}, Order(region, without(b.regions, region))...), since: now, gaveUp: len(b.granters) > 0, received: now, avoid: map[peer.InstanceID]*avoided{}}
+		l = &link{region: region, order: append([]string{region}, Order(region, without(b.regions, region))...), since: now, delegated: len(b.granters) > 0, received: now, avoid: map[peer.InstanceID]*avoided{}}
 		b.links[region] = l
 	}
 	return l
@@ -215,7 +215,7 @@
 	case longest(l.moveAt, now) < 0:
 	default:
 		l.leaving = true
-		if l.donee != l.lender || shortest(l.received, now) >= standingTime {
+		if l.delegatedTo != l.lender || shortest(l.received, now) >= standingTime {
 			l.call(best, now)
 		}
 	}
@@ -348,7 +348,7 @@
 // fillOwn fills the bucket of the own share while the lender does not count on this instance.
 func (b *Borrower) fillOwn(a *account, now Reading) {
 	d := shortest(a.ownAt, now)
-	if a.link.gaveUp {
+	if a.link.delegated {
 		d = min(d, shortest(a.link.received, now)-standingTime)
 		if d < 0 {
 			a.own = 0
@@ -368,7 +368,7 @@
 	if a.link.known {
 		wait = max(-shortest(a.link.retryAt, now), callGap)
 	}
-	if l := a.link; !l.gaveUp || shortest(l.received, now) >= standingTime {
+	if l := a.link; !l.delegated || shortest(l.received, now) >= standingTime {
 		missing := max(1-a.own, 0) * float64(max(b.instances, 1)) / a.limit.Rate
 		wait = min(wait, time.Duration(min(missing, maxBackoff.Seconds())*float64(time.Second)))
 	}
@@ -387,7 +387,7 @@
 	case t.account == nil:
 	case t.batch == nil:
 		b.fillOwn(t.account, now)
-		if t.account.link.gaveUp && shortest(t.account.link.received, now) < standingTime {
+		if t.account.link.delegated && shortest(t.account.link.received, now) < standingTime {
 			return
 		}
 		t.account.own = min(t.account.own+1, (t.account.limit.burst()+b.rules.slack())/float64(max(b.instances, 1)))
@@ -432,9 +432,9 @@
 	}
 	since := now.Mono - l.sent.Mono
 	due := keepInterval
-	if l.donee == l.lender && !l.echoed {
+	if l.delegatedTo == l.lender && !l.echoed {
 		due = callGap // nobody uses the share until the lender knows of it
-	} else if l.donee != l.lender {
+	} else if l.delegatedTo != l.lender {
 		due = renewAge
 	}
 	for _, a := range l.accounts {
@@ -467,7 +467,7 @@
 	b.seq++
 	l.seq, l.sent, l.called, l.calledLender, l.inFlight = b.seq, now, true, l.lender, true
 	r := &peerpb.RateRequest{Seq: b.seq, Region: region}
-	if l.donee == l.lender && !l.leaving {
+	if l.delegatedTo == l.lender && !l.leaving {
 		r.Echo, l.echoed = l.stamp, true
 	}
 	for _, a := range l.accounts {
@@ -549,7 +549,7 @@
 
 // mayGiveUp reports whether the share may be given up to the lender: no other one counts on it.
 func (l *link) mayGiveUp(now Reading) bool {
-	return !l.gaveUp || l.donee == l.lender || shortest(l.received, now) >= standingTime
+	return !l.delegated || l.delegatedTo == l.lender || shortest(l.received, now) >= standingTime
 }
 
 // Apply applies the reply to the call in flight and decides the requests that wait.
@@ -562,8 +562,8 @@
 	l.inFlight, l.failures = false, 0
 	delete(l.avoid, l.calledLender)
 	if l.lender == l.calledLender && !l.leaving && l.mayGiveUp(now) {
-		l.echoed = l.echoed && l.donee == l.lender && shortest(l.received, now) < standingTime
-		l.donee, l.stamp, l.received, l.gaveUp = l.lender, reply.Stamp, now, true
+		l.echoed = l.echoed && l.delegatedTo == l.lender && shortest(l.received, now) < standingTime
+		l.delegatedTo, l.stamp, l.received, l.delegated = l.lender, reply.Stamp, now, true
 		for _, a := range l.accounts {
 			a.own, a.ownAt = 0, now
 		}
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -27,9 +27,9 @@
 	maxEarlyTime = 2 * time.Second
 	// maxCanaryTime bounds the canary stage of orders with a long duration.
 	maxCanaryTime = 20 * time.Second
-	// aloneTime is how long no other version must be in service until the stages are skipped, as when the version serves the
+	// onlyTargetTime is how long no other version must be in service until the stages are skipped, as when the version serves the
 	// pool already, or when the store was restored from a copy without the verdict.
-	aloneTime = time.Second
+	onlyTargetTime = time.Second
 	// lateReserve replaces reserve if the stages before the last one need more time.
 	lateReserve = 1500 * time.Millisecond
 	// giveUpTime is the time before the deadline at which a roll-out without a verdict is rolled back, long enough for a write.
@@ -118,17 +118,17 @@
 // Judge collects the evidence of one roll-out. Its decisions follow from the reports, the record and the time alone, so that a
 // judge that takes over decides the same once the instances have reported to it.
 type Judge struct {
-	began     time.Time
-	instances map[string]heard
-	all       Evidence
-	buckets   []bucket
-	condemned string    // the reason
-	answered  time.Time // of the first answers of the target version
-	atStage   map[Stage]Pair
-	suspected time.Time // since when the version is suspicious
-	lookedAt  time.Time // when the versions were compared, with the result found
-	found     finding
-	alone     time.Time // since when no upstream of another version is in service
+	began           time.Time
+	instances       map[string]heard
+	all             Evidence
+	buckets         []bucket
+	condemned       string    // the reason
+	answered        time.Time // of the first answers of the target version
+	atStage         map[Stage]Pair
+	suspected       time.Time // since when the version is suspicious
+	lookedAt        time.Time // when the versions were compared, with the result found
+	found           finding
+	onlyTargetSince time.Time // since when no upstream of another version is in service
 }
 
 type heard struct {
@@ -187,12 +187,12 @@
 
 // Condemned returns why the version is bad, or an empty string. used is the number of its upstreams in use.
 func (j *Judge) Condemned(used int, now time.Time) string {
-	j.look(used, now)
+	j.compareVersions(used, now)
 	return j.condemned
 }
 
-// look compares the versions, if they were not lately, and returns the worst finding.
-func (j *Judge) look(used int, now time.Time) finding {
+// compareVersions compares the versions, unless that was done lately, and returns the worst finding.
+func (j *Judge) compareVersions(used int, now time.Time) finding {
 	if !j.lookedAt.IsZero() && now.Sub(j.lookedAt) < lookInterval {
 		return j.found
 	}
@@ -244,18 +244,18 @@
 
 // Decide decides about a running roll-out.
 func (j *Judge) Decide(now time.Time, r *Record, f Fleet) Decision {
-	finding := j.look(f.Used, now)
+	finding := j.compareVersions(f.Used, now)
 	if finding == inconspicuous || r.Stage == Canary {
 		j.suspected = time.Time{}
 	} else if j.suspected.IsZero() {
 		j.suspected = now
 	}
 	if f.Old > 0 || f.Target == 0 {
-		j.alone = time.Time{}
-	} else if j.alone.IsZero() {
-		j.alone = now
+		j.onlyTargetSince = time.Time{}
+	} else if j.onlyTargetSince.IsZero() {
+		j.onlyTargetSince = now
 	}
-	alone := !j.alone.IsZero() && now.Sub(j.alone) >= aloneTime
+	onlyTarget := !j.onlyTargetSince.IsZero() && now.Sub(j.onlyTargetSince) >= onlyTargetTime
 	justified := finding == inconspicuous && j.hearsMost(now, f)
 	end := r.Deadline().Add(-giveUpTime)
 	switch {
@@ -265,18 +265,18 @@
 		return Decision{RollBack, "the answers of the version stay suspicious"}
 	case now.Sub(j.began) < learnTime && now.Before(end):
 		return Decision{Wait, "collecting reports"}
-	case r.Stage == All && justified && (j.drained(now, r, f) || alone && !now.Before(end)):
+	case r.Stage == All && justified && (j.drained(now, r, f) || onlyTarget && !now.Before(end)):
 		return Decision{Complete, "no request is at an old upstream"}
-	case alone && r.Stage != All && justified:
+	case onlyTarget && r.Stage != All && justified:
 		return Decision{Advance, "no other version is in service"}
-	case !now.Before(end) && !j.alone.IsZero() && (!alone || !j.hearsMost(now, f)):
+	case !now.Before(end) && !j.onlyTargetSince.IsZero() && (!onlyTarget || !j.hearsMost(now, f)):
 		return Decision{Wait, "no other version is in service"}
 	case !now.Before(end):
-		return Decision{RollBack, "no verdict before the deadline: " + j.lacks(now, r, f, finding)}
-	case j.alone.IsZero() && j.overexposed(now, r, f):
-		return Decision{RollBack, "the version would get more requests than it may before the last stage: " + j.lacks(now, r, f, finding)}
+		return Decision{RollBack, "no verdict before the deadline: " + j.missingFor(now, r, f, finding)}
+	case j.onlyTargetSince.IsZero() && j.overexposed(now, r, f):
+		return Decision{RollBack, "the version would get more requests than it may before the last stage: " + j.missingFor(now, r, f, finding)}
 	}
-	if lack := j.lacks(now, r, f, finding); lack != "" {
+	if lack := j.missingFor(now, r, f, finding); lack != "" {
 		return Decision{Wait, lack}
 	}
 	if r.Stage == All {
@@ -326,8 +326,8 @@
 	return now.Sub(planEnd) > reserve-lateReserve
 }
 
-// lacks returns what is missing for the next stage, or an empty string.
-func (j *Judge) lacks(now time.Time, r *Record, f Fleet, worst finding) string {
+// missingFor returns what is missing for the next stage, or an empty string.
+func (j *Judge) missingFor(now time.Time, r *Record, f Fleet, worst finding) string {
 	total := j.all.total()
 	begin := j.atStage[r.Stage]
 	latest := r.Deadline().Add(-lateReserve - f.Limit - drainMargin) // for the last stage
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -119,8 +119,8 @@
 	bad := evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 30, 100, 0}, 3)
 	cold := testFleet
 	cold.Target = 0
-	alone := testFleet
-	alone.Old = 0
+	onlyTarget := testFleet
+	onlyTarget.Old = 0
 	for _, c := range []struct {
 		name     string
 		stage    Stage
@@ -146,9 +146,9 @@
 		{"all, bad", All, 8, 11.2, bad, true, testFleet, RollBack},
 		{"too late", Half, 8, 13.3, few, false, testFleet, RollBack},
 		{"never up", Canary, 0, 13.3, few, false, cold, RollBack},
-		{"no old upstreams", Canary, 0, 3, few, false, alone, Advance},
-		{"no old upstreams after the deadline", Canary, 0, 30, few, false, alone, Advance},
-		{"no old upstreams in the last stage after the deadline", All, 29, 30, few, false, alone, Complete},
+		{"no old upstreams", Canary, 0, 3, few, false, onlyTarget, Advance},
+		{"no old upstreams after the deadline", Canary, 0, 30, few, false, onlyTarget, Advance},
+		{"no old upstreams in the last stage after the deadline", All, 29, 30, few, false, onlyTarget, Complete},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			j := NewJudge(start)
@@ -283,8 +283,8 @@
 	evidence := func(old, target int) Evidence {
 		return evidenceOf(Counts{old, 0, old, 0}, Counts{target, 0, target, 0}, 3)
 	}
-	lacking, alone := testFleet, testFleet
-	lacking.Target, alone.Old = 10, 0
+	lacking, onlyTarget := testFleet, testFleet
+	lacking.Target, onlyTarget.Old = 10, 0
 	for _, c := range []struct {
 		name        string
 		stage       Stage
@@ -301,7 +301,7 @@
 		{"quarter, many requests", Quarter, 5.6, 7, 1000, 200, testFleet, Wait},
 		{"quarter, too many requests", Quarter, 5.6, 7, 900, 300, testFleet, RollBack},
 		{"all, many requests", All, 8, 9, 900, 900, testFleet, Wait},
-		{"no old upstreams", Half, 7.4, 9.6, 900, 900, alone, Advance},
+		{"no old upstreams", Half, 7.4, 9.6, 900, 900, onlyTarget, Advance},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			j := NewJudge(start)
