rate: instances without limits wake up once a second

Cause: the service looked at configuration and roles ten times a second, whether there were limits or not. Change: once a second while no workspace has a limit and nothing is lent. Evidence: TestIdleInstancesWakeUpRarely fails without the change.

--- a/pkg/rate/rules.go
+++ b/pkg/rate/rules.go
@@ -145,3 +145,7 @@
 
 // tickInterval is the time between two looks at the configuration, the roles and the number of instances.
 const tickInterval = 100 * time.Millisecond
+
+// idleTickInterval replaces tickInterval while no workspace has a limit and no tokens are lent. Each wake-up costs
+// processor time, also in deployments that limit nobody.
+const idleTickInterval = time.Second
--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -275,15 +275,14 @@
 		case <-s.wake:
 		}
 		if now := time.Now(); !now.Before(next) {
-			next = now.Add(tickInterval)
-			s.tick()
+			next = now.Add(s.tick())
 		}
 		timer.Reset(min(s.callDue(ctx), time.Until(next)))
 	}
 }
 
-// tick passes on the configuration and the roles.
-func (s *Service) tick() {
+// tick passes on the configuration and the roles, and returns the time until the next tick.
+func (s *Service) tick() time.Duration {
 	s.mu.Lock()
 	limits := s.tickBorrower()
 	s.mu.Unlock()
@@ -292,6 +291,10 @@
 	for region, l := range s.lent {
 		s.tickLender(region, l, limits)
 	}
+	if len(limits) == 0 && len(s.lent) == 0 {
+		return idleTickInterval
+	}
+	return tickInterval
 }
 
 func (s *Service) tickBorrower() []Limit {
--- a/pkg/rate/service_test.go
+++ b/pkg/rate/service_test.go
@@ -223,3 +223,29 @@
 		}
 	}
 }
+
+// Guards against wake-ups of instances in deployments that limit no workspace, each of which costs processor time, and
+// against an instance that goes on idling when a limit comes into force.
+func TestIdleInstancesWakeUpRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		var looks atomic.Int64
+		var limits atomic.Pointer[[]Limit]
+		limits.Store(&[]Limit{})
+		s := NewService(Config{
+			Roles: Alone{}, Region: "north", Regions: []string{"north"}, Instances: func() int { return 1 }, Rules: testRules, Log: logr.Discard(),
+			Limits: func() []Limit { looks.Add(1); return *limits.Load() },
+		})
+		go func() { _ = s.Run(ctx) }()
+		time.Sleep(20 * time.Second)
+		is.True(looks.Load() <= 21)
+		limits.Store(&[]Limit{{"w", 50, 100}})
+		time.Sleep(time.Second)
+		before := looks.Load()
+		time.Sleep(time.Second)
+		is.True(looks.Load()-before >= 9)
+		cancel()
+		time.Sleep(time.Minute) // calls end
+	})
+}
