entry: count connections that are closed with unanswered or unread requests

Closes of idle connections are counted with the others.

The look at a socket's unread bytes moves from internal/entry to internal/socket, where both use it.

go test ./internal/callers ./internal/entry ./internal/logging passes.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"github.com/turmericsail/turmericsail/internal/socket"
 )
 
 // Listener admits the connections of callers that its guard allows.
@@ -15,6 +18,19 @@
 	// Encrypted is set if the bytes of connections are not those of HTTP. Lines are then not counted, and a section
 	// costs its bytes only.
 	Encrypted bool
+	// OnClosing is called before a connection is closed.
+	OnClosing func(Closing)
+}
+
+// Closing tells in which state a connection is closed.
+type Closing struct {
+	// Reason is that of a limit of all callers together, ReasonIdle, or empty if net/http closes the connection.
+	Reason string
+	// Unanswered is set if bytes of a request were read that no handler has seen, other than the start of a section.
+	Unanswered bool
+	// Unread is set if bytes have arrived that were not read. The system resets such a connection, and the reset can
+	// destroy a response on its way to the caller.
+	Unread bool
 }
 
 var _ net.Listener = (*Listener)(nil)
@@ -26,24 +42,43 @@
 		if err != nil {
 			return nil, err
 		}
-		wrapped := &Conn{Conn: c, sections: l.Sections, encrypted: l.Encrypted, inSection: true}
-		if wrapped.member = l.Guard.Join(AddressOf(c), func() { _ = wrapped.Close() }); wrapped.member != nil {
+		wrapped := &Conn{Conn: c, raw: rawConn(c), sections: l.Sections, encrypted: l.Encrypted, onClosing: l.OnClosing, inSection: true}
+		if wrapped.member = l.Guard.Join(AddressOf(c), func() { _ = wrapped.closeFor(ReasonReplaced) }); wrapped.member != nil {
 			return wrapped, nil
 		}
 		_ = c.Close() // the caller learns that the connection is closed either way
 	}
 }
 
+// rawConn returns the socket of a connection, or nil if it has none.
+func rawConn(c net.Conn) syscall.RawConn {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil // a connection that is closed already, whose first read fails
+	}
+	return raw
+}
+
 // Conn is a connection of a caller. It counts what net/http reads of a header section, which ends when net/http reports
 // the connection as active.
 type Conn struct {
 	net.Conn
+	raw       syscall.RawConn // nil if it is not a socket
 	member    *Member
 	sections  *Sections
 	encrypted bool
+	onClosing func(Closing)
 	reading   node[*Conn] // guarded by the mutex of sections
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// delivered is set from when net/http gets bytes until it asks for more. If no request is being handled, these bytes
+	// may end a header section.
+	delivered bool
+	phase     Phase
 	inSection bool
 	prefaced  int // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
 	size      int64
@@ -66,7 +101,9 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.setDelivered(false)
 	n, err := c.Conn.Read(p)
+	c.setDelivered(n > 0)
 	if n == 0 {
 		return n, err
 	}
@@ -83,6 +120,12 @@
 	return n, err
 }
 
+func (c *Conn) setDelivered(v bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delivered = v
+}
+
 // count adds bytes to the header section, if one is being read, and returns what they cost.
 func (c *Conn) count(p []byte) (cost int64, tooLarge bool) {
 	c.mu.Lock()
@@ -168,6 +211,9 @@
 
 // Enter records the phase of the connection.
 func (c *Conn) Enter(p Phase) {
+	c.mu.Lock()
+	c.phase = p
+	c.mu.Unlock()
 	c.member.Enter(p)
 	switch p {
 	case PhaseActive:
@@ -225,13 +271,24 @@
 }
 
 // Close implements net.Conn.
-func (c *Conn) Close() error {
+func (c *Conn) Close() error { return c.closeFor("") }
+
+// CloseIdle closes a connection that has been idle for too long.
+func (c *Conn) CloseIdle() error { return c.closeFor(ReasonIdle) }
+
+// closeFor closes the connection for a reason; see Closing.
+func (c *Conn) closeFor(reason string) error {
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
+	closing := Closing{Reason: reason, Unanswered: reason != "" && c.delivered && c.phase != PhaseActive}
 	c.mu.Unlock()
 	if first {
 		c.member.Leave()
+		if c.onClosing != nil {
+			closing.Unread = socket.HasUnread(c.raw)
+			c.onClosing(closing)
+		}
 	}
 	c.release()
 	return c.Conn.Close()
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -61,6 +61,8 @@
 const (
 	// ReasonReplaced is a connection without a request that gave its place to a new one.
 	ReasonReplaced = "replaced"
+	// ReasonIdle is a connection that carried no request for longer than the limit.
+	ReasonIdle = "idle"
 	// ReasonFull is a new connection while all others carry requests.
 	ReasonFull = "full"
 	// ReasonMemory is an unfinished header section while the memory of requests is in use.
--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -68,7 +68,7 @@
 		if oldest == c {
 			return false
 		}
-		_ = oldest.Close() // its reader sees the error
+		_ = oldest.closeFor(ReasonMemory) // its reader sees the error
 	}
 	return true
 }
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -54,6 +54,22 @@
 	e.log.V(1).Info("connection of a caller closed", "reason", reason)
 }
 
+// connectionClosing records a connection that is closed with bytes of a request that got no answer. An unread connection
+// may have had its response; clients decide how often that happens.
+func (e *Entry) connectionClosing(c callers.Closing) {
+	if c.Reason == callers.ReasonIdle {
+		e.metrics.closedConnections(c.Reason)
+	}
+	if c.Unanswered {
+		e.metrics.unansweredConnections(c.Reason)
+		e.log.Info("connection of a caller closed with a request that was not answered", "reason", c.Reason)
+	}
+	if c.Unread {
+		e.metrics.unreadConnections(c.Reason)
+		e.log.V(1).Info("connection of a caller closed with unread bytes", "reason", c.Reason)
+	}
+}
+
 // sectionSlack is the number of bytes by which a header section of HTTP/1.1 may exceed its limit and still be read to its
 // end, so that the caller gets the refusal after it has sent everything. Beyond it, the refusal is sent at once.
 const sectionSlack = 16 << 10
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/turmericsail/turmericsail/internal/socket"
 )
 
 // countedConn counts the bytes written to the operating system's socket. A count
@@ -80,7 +82,7 @@
 			return false
 		}
 	}
-	return !hasInput(c.counted.raw) && c.client.Err() == nil
+	return !socket.HasInput(c.counted.raw) && c.client.Err() == nil
 }
 
 const (
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,7 +180,7 @@
 }
 
 func (e *Entry) serveCallers(l net.Listener) error {
-	l = &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil}
+	l = &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil, OnClosing: e.connectionClosing}
 	if e.cfg.Callers.TLS == nil {
 		return e.server.Serve(l)
 	}
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -32,6 +32,14 @@
 		return
 	}
 	if limit := i.limit(); limit > 0 {
-		i.idle[c] = time.AfterFunc(limit, func() { _ = c.Close() }) // the connection cannot be used after a failed Close either
+		i.idle[c] = time.AfterFunc(limit, func() { closeIdle(c) })
 	}
 }
+
+// closeIdle closes a connection that has been idle for too long. It cannot be used after a failed Close either.
+func closeIdle(c net.Conn) {
+	if conn := callerConn(c); conn != nil {
+		_ = conn.CloseIdle()
+	}
+	_ = c.Close()
+}
--- a/internal/entry/telemetry.go
+++ b/internal/entry/telemetry.go
@@ -111,11 +111,22 @@
 	return t.counter("turmericsail_resumes_total{pool=%q}", pool)
 }
 
-// closedConnections counts connections of callers that were closed because of a limit of all callers together.
+// closedConnections counts connections of callers that were closed because of a limit of all callers together, or because
+// they were idle.
 func (t *telemetry) closedConnections(reason string) {
 	t.counter("turmericsail_connections_closed_total{reason=%q}", reason).Inc()
 }
 
+// unansweredConnections counts connections of callers that were closed with a request that no handler had seen.
+func (t *telemetry) unansweredConnections(reason string) {
+	t.counter("turmericsail_unanswered_connections_total{reason=%q}", reason).Inc()
+}
+
+// unreadConnections counts connections of callers that were closed with unread bytes, which resets them.
+func (t *telemetry) unreadConnections(reason string) {
+	t.counter("turmericsail_unread_connections_total{reason=%q}", reason).Inc()
+}
+
 // aborts counts responses that were aborted after their header was sent.
 func (t *telemetry) aborts(route string) *metrics.Counter {
 	return t.counter("turmericsail_aborted_answers_total{route=%q}", route)
