entry: answer requests that were read while their connection was chosen to be closed

Cause: a connection is closed because it is at rest: its idle timer fires, a new connection takes its place, its header section is the oldest while memory is short, or the instance leaves. Choosing and closing were two steps, and a connection counted as at rest until net/http had parsed a whole header section. A request read from the socket before the second step was dropped. On a machine with a fraction of a core the time between is long. When the instance leaves, http.Server.Shutdown also drops a request that it has read and not yet handled.

Evidence: TestRequestThatWasReadIsAnswered lets the reader of a connection stand still after it has read a request.

Change: Conn.Read reads under the mutex of the connection and records that net/http has bytes until it asks for more. Conn.retire decides under the same mutex that the connection will be closed, and refuses if net/http has bytes; after it, nothing more is read. The idle timer, the guard, the bound on header sections and the shutdown close only connections that were retired. So a connection either carries its request to a handler, or the request was never read. The idle timer and the shutdown also keep a connection on which bytes have arrived. Shutdown closes the listener and retires connections as they come to rest, and calls http.Server.Shutdown when none is left. The idle timer looks at the limit again when it fires, so a limit that was raised meanwhile holds for connections that were idle already.

TestOldestHeaderSectionMakesRoom now reads on from the connection with the unfinished section, as net/http does; without, it looks like one whose section has ended.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -42,18 +45,25 @@
 		if err != nil {
 			return nil, err
 		}
-		wrapped := &Conn{Conn: c, raw: rawConn(c), sections: l.Sections, encrypted: l.Encrypted, onClosing: l.OnClosing, inSection: true}
-		if wrapped.member = l.Guard.Join(AddressOf(c), func() { _ = wrapped.closeFor(ReasonReplaced) }); wrapped.member != nil {
-			return wrapped, nil
+		conn := newConn(c, l)
+		if conn.member.Join() {
+			return conn, nil
 		}
 		_ = c.Close() // the caller learns that the connection is closed either way
 	}
 }
 
+func newConn(c net.Conn, l *Listener) *Conn {
+	conn := &Conn{Conn: c, raw: rawConn(c), sections: l.Sections, encrypted: l.Encrypted, onClosing: l.OnClosing, inSection: true}
+	conn.member = l.Guard.NewMember(AddressOf(c), conn)
+	conn.readNow = conn.readArrived
+	return conn
+}
+
 // rawConn returns the socket of a connection, or nil if it has none.
 func rawConn(c net.Conn) syscall.RawConn {
 	s, ok := c.(syscall.Conn)
-	if !ok {
+	if !ok || !socket.Readable {
 		return nil
 	}
 	raw, err := s.SyscallConn()
@@ -78,6 +88,9 @@
 	// delivered is set from when net/http gets bytes until it asks for more. If no request is being handled, these bytes
 	// may end a header section.
 	delivered bool
+	waiting   bool   // net/http waits for bytes
+	retired   bool   // will be closed; nothing is read any more
+	reason    string // of the close
 	phase     Phase
 	inSection bool
 	prefaced  int // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
@@ -88,6 +101,12 @@
 
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
+
+	// The destination and result of readArrived, whose method value is kept to save allocations.
+	dst     []byte
+	readN   int
+	readErr error
+	readNow func(fd uintptr) bool
 }
 
 var _ net.Conn = (*Conn)(nil)
@@ -101,9 +120,7 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
-	c.setDelivered(false)
-	n, err := c.Conn.Read(p)
-	c.setDelivered(n > 0)
+	n, err := c.receive(p)
 	if n == 0 {
 		return n, err
 	}
@@ -120,6 +137,98 @@
 	return n, err
 }
 
+// receive reads from the socket under the mutex, so that retire is either before the read, which then fails, or knows of
+// its bytes.
+func (c *Conn) receive(p []byte) (n int, err error) {
+	c.startRead()
+	if c.raw == nil {
+		n, err = c.Conn.Read(p)
+		c.endRead(n)
+		return n, err
+	}
+	c.dst = p
+	if waitErr := c.raw.Read(c.readNow); waitErr != nil {
+		c.endRead(0)
+		return 0, readError(waitErr)
+	}
+	return c.readN, c.readErr
+}
+
+// startRead records that net/http asks for more bytes.
+func (c *Conn) startRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.delivered = true, false
+}
+
+// endRead records that net/http gets n bytes.
+func (c *Conn) endRead(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.delivered = false, n > 0
+}
+
+// readArrived reads what has arrived, and reports false if that is nothing yet. It is called with the socket.
+func (c *Conn) readArrived(fd uintptr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.retired {
+		c.readN, c.readErr = 0, errClosed
+	} else if c.readN, c.readErr = socket.Read(fd, c.dst); errors.Is(c.readErr, syscall.EAGAIN) {
+		return false
+	} else if c.readErr != nil && c.readErr != io.EOF {
+		c.readErr = readError(os.NewSyscallError("read", c.readErr))
+	}
+	c.waiting, c.delivered = false, c.readN > 0
+	return true
+}
+
+// readError returns an error as Read of package net has it, by which net/http tells that it must not respond.
+func readError(err error) error {
+	var cause *net.OpError
+	if errors.As(err, &cause) {
+		err = cause.Err
+	}
+	return &net.OpError{Op: "read", Err: err}
+}
+
+// retire decides that the connection will be closed, unless bytes were delivered to net/http that may be a request. After
+// it, no more bytes are read.
+func (c *Conn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retireLocked()
+}
+
+func (c *Conn) retireLocked() bool {
+	if c.retired || c.delivered || c.phase == PhaseActive {
+		return false
+	}
+	c.retired = true
+	return true
+}
+
+// RetireIdle is retire for a connection that has been idle for too long. The caller must close it if it is retired.
+func (c *Conn) RetireIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != PhaseIdle || c.size > 0 || !c.retireUnlessArriving() {
+		return false
+	}
+	c.reason = ReasonIdle
+	return true
+}
+
+// retireQuiet is retire for a connection on which no request is arriving. A request that has begun to arrive has its own
+// timeout.
+func (c *Conn) retireQuiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (c.encrypted || c.size == 0) && c.retireUnlessArriving()
+}
+
+func (c *Conn) retireUnlessArriving() bool { return !socket.HasUnread(c.raw) && c.retireLocked() }
+
 func (c *Conn) setDelivered(v bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -167,6 +276,7 @@
 		return false
 	}
 	c.inSection, c.sectionEnd = false, time.Time{}
+	c.size = 0
 	return true
 }
 
@@ -202,6 +312,7 @@
 // refuse sends a refusal and waits until the caller can have read it.
 func (c *Conn) refuse() {
 	c.sections.OnClose(ReasonHeader)
+	c.setDelivered(false) // the refusal is the answer
 	c.release()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
 	c.sections.Refuse(c.Conn)
@@ -213,6 +324,9 @@
 func (c *Conn) Enter(p Phase) {
 	c.mu.Lock()
 	c.phase = p
+	if p == PhaseIdle {
+		c.delivered = !c.waiting // net/http may have read the next request together with the last one
+	}
 	c.mu.Unlock()
 	c.member.Enter(p)
 	switch p {
@@ -271,17 +385,11 @@
 }
 
 // Close implements net.Conn.
-func (c *Conn) Close() error { return c.closeFor("") }
-
-// CloseIdle closes a connection that has been idle for too long.
-func (c *Conn) CloseIdle() error { return c.closeFor(ReasonIdle) }
-
-// closeFor closes the connection for a reason; see Closing.
-func (c *Conn) closeFor(reason string) error {
+func (c *Conn) Close() error {
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
-	closing := Closing{Reason: reason, Unanswered: reason != "" && c.delivered && c.phase != PhaseActive}
+	closing := Closing{Reason: c.reason, Unanswered: c.retired && c.delivered && c.phase != PhaseActive}
 	c.mu.Unlock()
 	if first {
 		c.member.Leave()
@@ -294,6 +402,14 @@
 	return c.Conn.Close()
 }
 
+// closeFor closes a connection that is retired, for a limit of all callers together.
+func (c *Conn) closeFor(reason string) {
+	c.mu.Lock()
+	c.reason = reason
+	c.mu.Unlock()
+	_ = c.Close() // it cannot be used after a failed close either
+}
+
 // CloseWrite closes the writing side, which net/http does before it waits for the caller to read a refusal.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -16,8 +16,8 @@
 func pipe(s *Sections, encrypted bool) (*Conn, net.Conn) {
 	server, client := net.Pipe()
 	g := NewGuard(10, func(string) {})
-	c := &Conn{Conn: server, sections: s, encrypted: encrypted, inSection: true}
-	c.member = g.Join("", func() { _ = c.Close() })
+	c := newConn(server, &Listener{Guard: g, Sections: s, Encrypted: encrypted})
+	c.member.Join()
 	return c, client
 }
 
@@ -81,11 +81,16 @@
 	active.Enter(PhaseActive)
 	old, c2 := pipe(s, false)
 	is.NoErr(feed(old, c2, text))
+	ended := make(chan error, 1)
+	old.startRead() // as net/http does for the rest of a section
+	go func() {
+		_, err := old.Read(make([]byte, 1))
+		ended <- err
+	}()
 	ordinary, c3 := pipe(s, false)
 	is.NoErr(feed(ordinary, c3, text))
 	is.Equal(len(*reasons), 1)
-	_, err := old.Read(make([]byte, 1))
-	is.True(err != nil)
+	is.True(<-ended != nil)
 	is.True(errors.Is(feed(ordinary, c3, text), net.ErrClosed)) // it is the oldest itself now
 	is.NoErr(feed(active, c1, text))
 	is.Equal(active.charged, SectionCost(20, 0))
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -45,11 +45,22 @@
 	return &Guard{limit: limit, onEvict: onEvict, groups: map[string]*group{}}
 }
 
+// retirer is a connection that the guard can close.
+type retirer interface {
+	// retire decides that the connection will be closed, or reports false if it may carry a request already. It must not
+	// call the guard.
+	retire() bool
+	// retireQuiet is retire for a connection on which no request is arriving.
+	retireQuiet() bool
+	// closeFor closes a connection that is retired. It may call Leave.
+	closeFor(reason string)
+}
+
 // Member is a connection as the guard sees it.
 type Member struct {
 	guard   *Guard
 	address string
-	close   func()
+	conn    retirer
 
 	group *group
 	phase Phase
@@ -63,6 +74,8 @@
 	ReasonReplaced = "replaced"
 	// ReasonIdle is a connection that carried no request for longer than the limit.
 	ReasonIdle = "idle"
+	// ReasonLeaving is a connection without a request while the instance is leaving.
+	ReasonLeaving = "leaving"
 	// ReasonFull is a new connection while all others carry requests.
 	ReasonFull = "full"
 	// ReasonMemory is an unfinished header section while the memory of requests is in use.
@@ -71,24 +84,34 @@
 	ReasonHeader = "header"
 )
 
-// Join adds a connection, or returns nil if it must be closed. close closes another connection later, and may call
-// Leave.
-func (g *Guard) Join(address string, close func()) *Member {
+// maxCandidates bounds the connections that are asked to give their place to a new one. Those that cannot are about to
+// carry a request.
+const maxCandidates = 16
+
+// NewMember returns a connection that has not joined yet.
+func (g *Guard) NewMember(address string, conn retirer) *Member {
+	m := &Member{guard: g, address: address, conn: conn}
+	m.place.owner = m
+	return m
+}
+
+// Join adds the connection, or reports false if it must be closed. It may close another one.
+func (m *Member) Join() bool {
+	g := m.guard
 	g.mu.Lock()
 	var victim *Member
 	if g.open >= g.limit {
-		if victim = g.oldest(); victim == nil {
+		if victim = g.retireOldest(); victim == nil {
 			g.mu.Unlock()
 			g.onEvict(ReasonFull)
-			return nil
+			return false
 		}
 		g.remove(victim)
 	}
-	m := &Member{guard: g, address: address, close: close, group: g.groups[address]}
-	m.place.owner = m
+	m.group = g.groups[m.address]
 	if m.group == nil {
 		m.group = &group{}
-		g.groups[address] = m.group
+		g.groups[m.address] = m.group
 	}
 	g.open++
 	m.group.open++
@@ -96,12 +119,26 @@
 	g.mu.Unlock()
 	if victim != nil {
 		g.onEvict(ReasonReplaced)
-		victim.close()
+		victim.conn.closeFor(ReasonReplaced)
 	}
-	return m
+	return true
+}
+
+// retireOldest returns the connection that is closed next, or nil if all carry requests.
+func (g *Guard) retireOldest() *Member {
+	for range maxCandidates {
+		m := g.oldest()
+		if m == nil || m.conn.retire() {
+			return m
+		}
+		m.place.leave()
+		m.insert()
+	}
+	return nil
 }
 
-// oldest returns the connection that is closed next, or nil if all carry requests.
+// oldest returns the connection that has carried no request for longest at the address with most of them, or nil if all
+// carry requests.
 func (g *Guard) oldest() *Member {
 	for _, phase := range []Phase{PhaseNew, PhaseIdle} {
 		var most *queue[*Member]
@@ -125,7 +162,7 @@
 }
 
 func (g *Guard) remove(m *Member) {
-	if m.left {
+	if m.left || m.group == nil { // left, or did not join
 		return
 	}
 	m.left = true
@@ -141,7 +178,7 @@
 	g := m.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if m.left || m.phase == p {
+	if m.left || m.group == nil || m.phase == p {
 		return
 	}
 	m.place.leave()
@@ -156,6 +193,31 @@
 	m.guard.remove(m)
 }
 
+// CloseQuiet closes the connections in one of the phases on which no request is arriving, and returns the number of those
+// that stay open.
+func (g *Guard) CloseQuiet(reason string, in ...Phase) (open int) {
+	g.mu.Lock()
+	var retired []*Member
+	for _, at := range g.groups {
+		for _, phase := range in {
+			for n := at.useless[phase].first; n != nil; n = n.next {
+				if n.owner.conn.retireQuiet() {
+					retired = append(retired, n.owner)
+				}
+			}
+		}
+	}
+	for _, m := range retired {
+		g.remove(m)
+	}
+	open = g.open
+	g.mu.Unlock()
+	for _, m := range retired {
+		m.conn.closeFor(reason)
+	}
+	return open
+}
+
 // Connections returns the number of open connections and the limit.
 func (g *Guard) Connections() (open, limit int) {
 	g.mu.Lock()
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -7,6 +7,16 @@
 	"github.com/matryer/is"
 )
 
+// fakeConn is a connection of which a request has been read if busy is set.
+type fakeConn struct {
+	busy   bool
+	closed func()
+}
+
+func (c *fakeConn) retire() bool      { return !c.busy }
+func (c *fakeConn) retireQuiet() bool { return !c.busy }
+func (c *fakeConn) closeFor(string)   { c.closed() }
+
 // Guards against a new connection that takes the place of one with a request, and against ordinary callers that lose
 // theirs to an address with many connections.
 func TestGuardReplacesTheOldestUselessConnection(t *testing.T) {
@@ -33,12 +43,15 @@
 			g := NewGuard(len(c.open), func(reason string) { reasons = append(reasons, reason) })
 			var members []*Member
 			for i, s := range c.open {
-				m := g.Join(s.address, func() { closed = i; members[i].Leave() })
+				conn := &fakeConn{}
+				m := g.NewMember(s.address, conn)
+				conn.closed = func() { closed = i; m.Leave() }
+				is.True(m.Join())
 				members = append(members, m)
 				m.Enter(s.phase)
 			}
-			m := g.Join("a", func() {})
-			is.Equal(m == nil, c.closed == -1)
+			m := g.NewMember("a", &fakeConn{})
+			is.Equal(m.Join(), c.closed != -1)
 			is.Equal(closed, c.closed)
 			is.True(slices.Equal(reasons, c.reasons))
 			open, limit := g.Connections()
@@ -48,9 +61,7 @@
 				m.Leave() // a connection may be closed twice
 				m.Enter(PhaseIdle)
 			}
-			if m != nil {
-				m.Leave()
-			}
+			m.Leave()
 			open, _ = g.Connections()
 			is.Equal(open, 0)
 		})
@@ -74,3 +85,21 @@
 		is.New(t).Equal(MaxConnections(c.descriptors), c.want)
 	}
 }
+
+// Guards against a connection that is counted after it was refused, and one that is closed although a request was read.
+func TestGuardKeepsConnectionsWithARequest(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard(2, func(string) {})
+	busy, closed := &fakeConn{busy: true}, 0
+	free := &fakeConn{closed: func() { closed++ }}
+	is.True(g.NewMember("a", busy).Join())
+	is.True(g.NewMember("a", free).Join())
+	is.True(g.NewMember("a", busy).Join()) // replaces free
+	is.Equal(closed, 1)
+	refused := g.NewMember("a", free)
+	is.True(!refused.Join())
+	refused.Leave()
+	open, _ := g.Connections()
+	is.Equal(open, 2)
+	is.Equal(g.CloseQuiet(ReasonLeaving, PhaseNew, PhaseIdle), 2)
+}
--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -64,11 +64,16 @@
 			return false
 		}
 		oldest := front.owner
-		s.OnClose(ReasonMemory)
 		if oldest == c {
+			s.OnClose(ReasonMemory)
 			return false
 		}
-		_ = oldest.closeFor(ReasonMemory) // its reader sees the error
+		if !oldest.retire() { // its section has ended, or it is closed
+			s.finish(oldest)
+			continue
+		}
+		s.OnClose(ReasonMemory)
+		oldest.closeFor(ReasonMemory) // its reader sees the error
 	}
 	return true
 }
--- /dev/null
+++ b/internal/entry/closing_test.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/callers"
+	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/table"
+)
+
+// stallingListener accepts connections whose reader stands still after it has received a request to /stalled, as on a machine
+// whose processor others use.
+type stallingListener struct {
+	net.Listener
+	stalled chan struct{} // receives a value when a reader begins to stand still
+	resume  chan struct{} // closed when readers may go on
+	moved   atomic.Bool   // readers stand still elsewhere
+}
+
+// Accept implements net.Listener.
+func (l *stallingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stallingConn{TCPConn: c.(*net.TCPConn), l: l}, nil
+}
+
+type stallingConn struct {
+	*net.TCPConn
+	l    *stallingListener
+	done atomic.Bool
+}
+
+var _ syscall.Conn = (*stallingConn)(nil)
+
+func (c *stallingConn) stall() {
+	if !c.l.moved.Load() && !c.done.Swap(true) {
+		c.l.stalled <- struct{}{}
+		<-c.l.resume
+	}
+}
+
+// Read implements net.Conn.
+func (c *stallingConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if strings.Contains(string(p[:n]), "/stalled") {
+		c.stall()
+	}
+	return n, err
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *stallingConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return &stallingRawConn{RawConn: raw, c: c}, err
+}
+
+type stallingRawConn struct {
+	syscall.RawConn
+	c *stallingConn
+}
+
+// Read implements syscall.RawConn.
+func (r *stallingRawConn) Read(read func(fd uintptr) bool) error {
+	found := false
+	err := r.RawConn.Read(func(fd uintptr) bool {
+		var b [1 << 10]byte
+		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		found = n > 0 && strings.Contains(string(b[:n]), "/stalled")
+		return read(fd)
+	})
+	if found {
+		r.c.stall()
+	}
+	return err
+}
+
+// stallWhenParsed moves the point where the first connection stands still to when its first header section has been parsed.
+func (l *stallingListener) stallWhenParsed(e *Entry) {
+	l.moved.Store(true)
+	var once sync.Once
+	hook := e.server.ConnState
+	e.server.ConnState = func(c net.Conn, s http.ConnState) {
+		if s == http.StateActive {
+			once.Do(func() {
+				l.stalled <- struct{}{}
+				<-l.resume
+			})
+		}
+		hook(c, s)
+	}
+}
+
+// stallingEntry starts an entry whose readers stand still as those of stallingListener.
+func stallingEntry(t *testing.T, set func(*settings.Settings), configure func(*Entry, *stallingListener)) (*Entry, *stallingListener) {
+	t.Helper()
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	cfg := testSettings()
+	set(&cfg)
+	tables := &fixedTables{}
+	pool := table.Pool{Name: "work", Slots: 64, Connections: 64, Upstreams: []table.Upstream{{ID: "u1", Address: upstream, Region: "north", FailureDomain: "n1"}}}
+	tables.set(table.NewTables(1, []table.Route{testRoute()}, []table.Pool{pool}))
+	e := New(cfg, tables, Ports{}, logr.Discard())
+	l := &stallingListener{Listener: listen(t), stalled: make(chan struct{}, 1), resume: make(chan struct{})}
+	configure(e, l)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { _ = e.Serve(ctx, l); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return e, l
+}
+
+// rawCaller is a connection of a caller that writes requests itself.
+type rawCaller struct {
+	t *testing.T
+	net.Conn
+	r *bufio.Reader
+}
+
+func dialCaller(t *testing.T, address string) *rawCaller {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	return &rawCaller{t, c, bufio.NewReader(c)}
+}
+
+func (c *rawCaller) send(path string) {
+	c.t.Helper()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: a\r\n\r\n", path); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// status reads a response and returns its status, or 0 if the connection ended without one.
+func (c *rawCaller) status() int {
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Guards against closing a connection from which a request has been read that no handler has seen yet.
+func TestRequestThatWasReadIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kept   bool // the connection has carried a request before
+		limits func(*settings.Limits)
+		budget int64
+		parsed bool // the reader stands still after the header section has been parsed
+		closes func(t *testing.T, e *Entry, address string)
+	}{
+		{name: "idle timeout", kept: true, limits: func(l *settings.Limits) { l.IdleTimeout = table.Duration(300 * time.Millisecond) },
+			closes: func(*testing.T, *Entry, string) { time.Sleep(600 * time.Millisecond) }},
+		{name: "kept connection replaced", kept: true, limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
+		{name: "new connection replaced", limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
+		{name: "memory of header sections", budget: callers.SectionCost(60, 3), parsed: true, closes: func(t *testing.T, e *Entry, address string) {
+			_, _ = io.WriteString(dialCaller(t, address), "GET /other HTTP/1.1"+strings.Repeat("a", 40))
+			time.Sleep(100 * time.Millisecond)
+		}},
+		{name: "shutdown, kept connection", kept: true, closes: shutDown},
+		{name: "shutdown, new connection", closes: shutDown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e, l := stallingEntry(t, func(s *settings.Settings) {
+				if c.limits != nil {
+					c.limits(&s.Limits)
+				}
+			}, func(e *Entry, l *stallingListener) {
+				if c.budget > 0 {
+					e.sections.Budget = callers.NewBudget(c.budget)
+				}
+				if c.parsed {
+					l.stallWhenParsed(e)
+				}
+			})
+			address := l.Addr().String()
+			caller := dialCaller(t, address)
+			if c.kept {
+				caller.send("/")
+				is.Equal(caller.status(), 200)
+			}
+			caller.send("/stalled")
+			<-l.stalled
+			c.closes(t, e, address)
+			close(l.resume)
+			is.Equal(caller.status(), 200)
+		})
+	}
+}
+
+func connectAnother(t *testing.T, _ *Entry, address string) {
+	dialCaller(t, address)
+	time.Sleep(100 * time.Millisecond)
+}
+
+func shutDown(t *testing.T, e *Entry, _ string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	go func() { _ = e.Shutdown(ctx) }()
+	time.Sleep(100 * time.Millisecond)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,9 +64,11 @@
 	conns         *connPools
 	relayDialer   *relayDialer
 
-	leaving atomic.Bool
-	endsAt  atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
-	running atomic.Int64
+	listener atomic.Pointer[callers.Listener]
+	stopping atomic.Bool // the listener is closed, or will be
+	leaving  atomic.Bool
+	endsAt   atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
+	running  atomic.Int64
 }
 
 var (
@@ -172,7 +174,7 @@
 	})()
 	go e.maintain(ctx)
 	go func() { _ = e.relayedServer.Serve(e.relayListener) }()
-	if err := e.serveCallers(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := e.serveCallers(l); !errors.Is(err, http.ErrServerClosed) && !e.stopping.Load() {
 		return err
 	}
 	<-ctx.Done()
@@ -180,9 +182,12 @@
 }
 
 func (e *Entry) serveCallers(l net.Listener) error {
-	l = &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil, OnClosing: e.connectionClosing}
+	own := &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil, OnClosing: e.connectionClosing}
+	if e.listener.Store(own); e.stopping.Load() {
+		return own.Close()
+	}
 	if e.cfg.Callers.TLS == nil {
-		return e.server.Serve(l)
+		return e.server.Serve(own)
 	}
 	mode := tlsconf.ServerOnly
 	if e.cfg.Callers.TLS.CA != "" {
@@ -193,7 +198,7 @@
 		return err
 	}
 	e.server.TLSConfig = config
-	return e.server.ServeTLS(l, "", "")
+	return e.server.ServeTLS(own, "", "")
 }
 
 // maintainInterval is the maximum delay before a change of the tables is applied to the connection pools.
@@ -242,10 +247,42 @@
 // Shutdown stops accepting connections, closes idle ones and waits for running requests.
 func (e *Entry) Shutdown(ctx context.Context) error {
 	e.SetLeaving()
+	e.stopping.Store(true)
+	if l := e.listener.Load(); l != nil {
+		_ = l.Close() // a second Close fails
+	}
+	e.closeCallers(ctx)
 	err := e.server.Shutdown(ctx)
 	return errors.Join(err, e.relayedServer.Shutdown(ctx))
 }
 
+const (
+	// closeInterval is the time between two looks at the connections of callers while the instance leaves.
+	closeInterval = 10 * time.Millisecond
+	// newConnWait is the time for the first request on a new connection to arrive while the instance leaves.
+	newConnWait = time.Second
+)
+
+// closeCallers closes connections as they become idle, until none is left. http.Server.Shutdown would drop requests that
+// were read and not handled yet, so it is called when there are none.
+func (e *Entry) closeCallers(ctx context.Context) {
+	tick := time.NewTicker(closeInterval)
+	defer tick.Stop()
+	phases := []callers.Phase{callers.PhaseIdle}
+	for newClosed := time.After(newConnWait); ; {
+		if e.guard.CloseQuiet(callers.ReasonLeaving, phases...) == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-newClosed:
+			phases = append(phases, callers.PhaseNew)
+		case <-tick.C:
+		}
+	}
+}
+
 // redactingLog logs at debug level that net/http reported an error, without the
 // error's text, which quotes bytes sent by callers.
 func redactingLog(logger logr.Logger) *log.Logger {
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -13,11 +13,16 @@
 type idleConns struct {
 	limit func() time.Duration
 	mu    sync.Mutex
-	idle  map[net.Conn]*time.Timer
+	idle  map[net.Conn]*idleTimer
+}
+
+type idleTimer struct {
+	*time.Timer
+	since time.Time
 }
 
 func newIdleConns(limit func() time.Duration) *idleConns {
-	return &idleConns{limit: limit, idle: map[net.Conn]*time.Timer{}}
+	return &idleConns{limit: limit, idle: map[net.Conn]*idleTimer{}}
 }
 
 // connState starts and stops the idle timer of a connection; it is a ConnState hook of http.Server.
@@ -32,14 +37,32 @@
 		return
 	}
 	if limit := i.limit(); limit > 0 {
-		i.idle[c] = time.AfterFunc(limit, func() { closeIdle(c) })
+		t := &idleTimer{since: time.Now()}
+		t.Timer = time.AfterFunc(limit, func() {
+			if i.expired(c, t) {
+				_ = c.Close() // the connection cannot be used after a failed Close either
+			}
+		})
+		i.idle[c] = t
 	}
 }
 
-// closeIdle closes a connection that has been idle for too long. It cannot be used after a failed Close either.
-func closeIdle(c net.Conn) {
-	if conn := callerConn(c); conn != nil {
-		_ = conn.CloseIdle()
+// expired reports whether the connection must be closed now. Otherwise the timer runs on: the limit may have become longer,
+// or a request may be arriving.
+func (i *idleConns) expired(c net.Conn, t *idleTimer) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	limit := i.limit()
+	if i.idle[c] != t || limit <= 0 { // without a limit here, that of http.Server applies
+		return false
+	}
+	left := limit - time.Since(t.since)
+	if left <= 0 {
+		if conn := callerConn(c); conn == nil || conn.RetireIdle() {
+			return true
+		}
+		left = limit
 	}
-	_ = c.Close()
+	t.Reset(left)
+	return false
 }
