entry: test that a raised idle timeout holds for connections that are idle already

What callers saw: after the operator had raised idle_timeout, a connection was closed at the old limit, while callers may use it for longer.

--- a/internal/entry/closing_test.go
+++ b/internal/entry/closing_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -224,3 +226,35 @@
 	go func() { _ = e.Shutdown(ctx) }()
 	time.Sleep(100 * time.Millisecond)
 }
+
+// Guards against a connection that is closed after the limit that was in force when it became idle, or never.
+func TestIdleTimeoutInForce(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after time.Duration
+		open          bool // after twice the time of before
+	}{
+		{"unchanged", 150 * time.Millisecond, 150 * time.Millisecond, false},
+		{"raised", 150 * time.Millisecond, time.Minute, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))})
+			limit := func(d time.Duration) {
+				snapshot := *h.tables.Snapshot()
+				snapshot.Limits.IdleTimeout = table.Duration(d)
+				h.tables.current.Store(&snapshot)
+			}
+			limit(c.before)
+			caller := dialCaller(t, h.addr)
+			caller.send("/")
+			is.Equal(caller.status(), 200)
+			time.Sleep(c.before / 3) // the connection becomes idle after its response is sent
+			limit(c.after)
+			time.Sleep(2 * c.before)
+			_ = caller.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			_, err := caller.Read(make([]byte, 1))
+			is.Equal(errors.Is(err, os.ErrDeadlineExceeded), c.open)
+		})
+	}
+}
