entry: tell callers how long they may reuse a connection

Cause: an instance closes a connection after idle_timeout (15 s there), and nothing told its callers. They used connections that had been idle for up to 20 s, so requests were on their way to an instance while it closed the connection.

TestCallersAreToldOfTheIdleTimeout failed in 3 of 5 cases before.

Responses over HTTP/1 carry Keep-Alive with four fifths of the idle timeout in force, in whole seconds. It is left out where the connection is closed, and where the time is shorter than the header can tell.

--- a/internal/entry/closing_test.go
+++ b/internal/entry/closing_test.go
@@ -227,6 +227,34 @@
 	time.Sleep(100 * time.Millisecond)
 }
 
+// Guards against callers that send a request on a connection while it is closed for being idle.
+func TestCallersAreToldOfTheIdleTimeout(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		idle    time.Duration
+		request string
+		want    string
+	}{
+		{"answer", 15 * time.Second, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "timeout=12"},
+		{"refusal", 15 * time.Second, "GET / HTTP/1.1\r\nHost: a\r\nTurmericsail-Deadline: soon\r\n\r\n", "timeout=12"},
+		{"fraction of a second", 1500 * time.Millisecond, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "timeout=1"},
+		{"too short to tell", time.Second, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", ""},
+		{"closed anyway", 15 * time.Second, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Keep-Alive", "timeout=99") }))
+			h := newHarness(t, testRoute(), []string{upstream}, withSettings(func(s *settings.Settings) { s.Limits.IdleTimeout = table.Duration(c.idle) }))
+			caller := dialCaller(t, h.addr)
+			_, err := io.WriteString(caller, c.request)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(caller.r, nil)
+			is.NoErr(err)
+			is.Equal(resp.Header.Get("Keep-Alive"), c.want)
+		})
+	}
+}
+
 // Guards against a connection that is closed after the limit that was in force when it became idle, or never.
 func TestIdleTimeoutInForce(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -3,10 +3,29 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
+const (
+	// announcedShare is the part of the idle timeout that callers are told: four fifths. A request that is sent within it
+	// arrives before the connection is closed.
+	announcedShare = 0.8
+	// minAnnounced is the shortest idle time that the Keep-Alive header can tell.
+	minAnnounced = time.Second
+)
+
+// announceIdle tells an HTTP/1 caller for how long it may reuse the connection (RFC 2068, section 19.7.1).
+func (x *exchange) announceIdle(h http.Header) {
+	if x.r.ProtoMajor != 1 || x.r.Close || h.Get("Connection") != "" {
+		return
+	}
+	if told := time.Duration(float64(x.e.limits().IdleTimeout.Std()) * announcedShare); told >= minAnnounced {
+		h["Keep-Alive"] = x.headerValue("timeout=" + strconv.Itoa(int(told/time.Second)))
+	}
+}
+
 // idleConns closes callers' connections that are idle for longer than the limit in
 // force. The idle timeout of http.Server is fixed at the start, while operators can
 // change the limit in the tables.
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -47,6 +47,9 @@
 	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.r.ContentLength != 0 && !x.bodyComplete())
 	x.forbid1xx() // first, because forward1xx also writes to the header
 	x.w.Header()[x.e.proto.RequestID] = []string{x.id}
+	if !f.Close {
+		x.announceIdle(x.w.Header())
+	}
 	f.write(x.w, &x.e.proto)
 	if f.Close && x.body != nil && !x.bodyComplete() {
 		// net/http reads on before it closes the connection, and the caller may pause.
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -99,6 +99,7 @@
 	if x.r.ProtoMajor == 1 && x.mustClose(resp) {
 		h.Set("Connection", "close")
 	}
+	x.announceIdle(h)
 	x.report.status, x.report.outcome = resp.StatusCode, "answered"
 	x.w.WriteHeader(resp.StatusCode)
 	if resp.ContentLength < 0 {
