entry: hold the port of a closed address during a test

TestOutcomeWithIdentity failed in 2 of 2 runs of the package beside other test runs, once with a status below 500 and once after 10 s: another process listened at the address, which the test had only opened and closed. The port is now bound and not listened on, so connections are refused and nothing else can take it. The package passes after it, beside the same load.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -172,11 +173,22 @@
 	return u
 }
 
-// closedAddress returns an address without a listener.
+// closedAddress returns an address without a listener, which nothing else can take during the test.
 func closedAddress(t testing.TB) string {
-	l := listen(t)
-	defer l.Close()
-	return l.Addr().String()
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
 
 type reply struct {
