entry: let net/http announce the close of HTTP/2 connections while the instance leaves

What callers saw: with HTTP/2, requests that were sent while the instance left failed with "unexpected EOF", "connection reset by peer" or "broken pipe", and callers could not tell whether they had run.

Cause: since the shutdown closes connections as they become idle, those of HTTP/2 ended without GOAWAY. http.Server.Shutdown sends it, names the last stream that was run, and closes the connection one second later, so that requests that cross it can safely be sent elsewhere.

Change: Guard.CloseQuiet leaves out connections of HTTP/2. Until those of HTTP/1.1 have ended, each response carries GOAWAY, as it does since the instance leaves; http.Server.Shutdown then announces the close of the others. It does not drop requests of HTTP/2 that were read: one that arrives after GOAWAY is named by it as not run.

--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -30,6 +30,7 @@
 
 	mu     sync.Mutex
 	open   int
+	http2  int               // open connections of HTTP/2
 	groups map[string]*group // by address
 }
 
@@ -65,6 +66,7 @@
 	group *group
 	phase Phase
 	place node[*Member]
+	http2 bool
 	left  bool
 }
 
@@ -168,6 +170,9 @@
 	m.left = true
 	m.place.leave()
 	g.open--
+	if m.http2 {
+		g.http2--
+	}
 	if m.group.open--; m.group.open == 0 {
 		delete(g.groups, m.address)
 	}
@@ -186,6 +191,18 @@
 	m.insert()
 }
 
+// setHTTP2 records that the connection is one of HTTP/2.
+func (m *Member) setHTTP2() {
+	g := m.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m.left || m.group == nil || m.http2 {
+		return
+	}
+	m.http2 = true
+	g.http2++
+}
+
 // Leave records that the connection is closed.
 func (m *Member) Leave() {
 	m.guard.mu.Lock()
@@ -194,14 +211,15 @@
 }
 
 // CloseQuiet closes the connections in one of the phases on which no request is arriving, and returns the number of those
-// that stay open.
+// that stay open. It leaves out connections of HTTP/2: net/http announces their close with GOAWAY, from which callers know
+// which of their requests were not run.
 func (g *Guard) CloseQuiet(reason string, in ...Phase) (open int) {
 	g.mu.Lock()
 	var retired []*Member
 	for _, at := range g.groups {
 		for _, phase := range in {
 			for n := at.useless[phase].first; n != nil; n = n.next {
-				if n.owner.conn.retireQuiet() {
+				if !n.owner.http2 && n.owner.conn.retireQuiet() {
 					retired = append(retired, n.owner)
 				}
 			}
@@ -210,7 +228,7 @@
 	for _, m := range retired {
 		g.remove(m)
 	}
-	open = g.open
+	open = g.open - g.http2
 	g.mu.Unlock()
 	for _, m := range retired {
 		m.conn.closeFor(reason)
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -41,12 +41,26 @@
 	}
 	switch s {
 	case http.StateActive:
+		if conn.IsNew() && isHTTP2(c, conn) {
+			conn.SetHTTP2()
+		}
 		conn.Enter(callers.PhaseActive)
 	case http.StateIdle:
 		conn.Enter(callers.PhaseIdle)
 	}
 }
 
+// isHTTP2 reports whether a connection that carries its first request is one of HTTP/2.
+func isHTTP2(c net.Conn, conn *callers.Conn) bool {
+	if t, ok := c.(*tls.Conn); ok {
+		return t.ConnectionState().NegotiatedProtocol == http2Protocol
+	}
+	return conn.HasHTTP2Preface()
+}
+
+// http2Protocol is the ALPN name of HTTP/2 (RFC 9113, section 3.1).
+const http2Protocol = "h2"
+
 // connectionClosed counts a connection that was closed because of a limit of all callers together. It is logged at debug
 // level, since clients decide how often it happens.
 func (e *Entry) connectionClosed(reason string) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -263,8 +263,8 @@
 	newConnWait = time.Second
 )
 
-// closeCallers closes connections as they become idle, until none is left. http.Server.Shutdown would drop requests that
-// were read and not handled yet, so it is called when there are none.
+// closeCallers closes connections as they become idle, until only those of HTTP/2 are left. http.Server.Shutdown would drop
+// requests of HTTP/1.1 that were read and not handled yet, so it is called when there are none.
 func (e *Entry) closeCallers(ctx context.Context) {
 	tick := time.NewTicker(closeInterval)
 	defer tick.Stop()
--- /dev/null
+++ b/internal/entry/http2_closing_test.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+
+	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/internal/tlsconf/tlstest"
+)
+
+// framesCaller is a connection of a caller that reads and writes frames of HTTP/2 itself.
+type framesCaller struct {
+	t *testing.T
+	net.Conn
+	*http2.Framer
+	stream uint32 // of the last request; odd
+}
+
+func dialFrames(t *testing.T, address string, encrypted bool) *framesCaller {
+	t.Helper()
+	var c net.Conn = dialCaller(t, address)
+	if encrypted {
+		c = tls.Client(c, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{http2Protocol}})
+	}
+	if _, err := io.WriteString(c, http2.ClientPreface); err != nil {
+		t.Fatal(err)
+	}
+	f := &framesCaller{t: t, Conn: c, Framer: http2.NewFramer(c, c)}
+	f.stream-- // the first request has 1
+	if err := f.WriteSettings(); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// get sends a request.
+func (c *framesCaller) get(path string) {
+	c.t.Helper()
+	var block bytes.Buffer
+	e := hpack.NewEncoder(&block)
+	for _, f := range [][2]string{{":method", http.MethodGet}, {":scheme", "http"}, {":path", path}, {":authority", "a"}} {
+		_ = e.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
+	}
+	c.stream += 2
+	if err := c.WriteHeaders(http2.HeadersFrameParam{StreamID: c.stream, BlockFragment: block.Bytes(), EndHeaders: true, EndStream: true}); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// served reads until the response to the last request has ended, and reports false if the connection ends before.
+func (c *framesCaller) served() bool {
+	for {
+		f, err := c.ReadFrame()
+		if err != nil {
+			return false
+		}
+		if data, ok := f.(*http2.DataFrame); ok && data.StreamID == c.stream && data.StreamEnded() {
+			return true
+		}
+	}
+}
+
+// lastProcessed reads until the connection ends, and returns the last stream that GOAWAY names, or false if there is none.
+func (c *framesCaller) lastProcessed() (stream uint32, announced bool) {
+	for {
+		f, err := c.ReadFrame()
+		if err != nil {
+			return stream, announced
+		}
+		if g, ok := f.(*http2.GoAwayFrame); ok {
+			stream, announced = g.LastStreamID, true
+		}
+	}
+}
+
+// Guards against connections of HTTP/2 that end without GOAWAY, after which callers cannot tell whether a request ran that
+// they have just sent.
+func TestCloseOfHTTP2ConnectionIsAnnounced(t *testing.T) {
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	files := tlstest.Files(t, "entry")
+	files.CA = "" // with a CA, callers would need certificates
+	for _, c := range []struct {
+		name   string
+		set    func(*settings.Settings)
+		closes func(*testing.T, *harness)
+	}{
+		{"shutdown", func(*settings.Settings) {}, func(t *testing.T, h *harness) {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			t.Cleanup(cancel)
+			go func() { _ = h.entry.Shutdown(ctx) }()
+		}},
+	} {
+		for name, encrypted := range map[string]bool{"plain": false, "tls": true} {
+			t.Run(c.name+", "+name, func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, testRoute(), []string{upstream}, withSettings(func(s *settings.Settings) {
+					if c.set(s); encrypted {
+						s.Callers.Plaintext, s.Callers.TLS = false, &files
+					}
+				}))
+				caller := dialFrames(t, h.addr, encrypted)
+				caller.get("/")
+				is.True(caller.served())
+				c.closes(t, h)
+				last, announced := caller.lastProcessed()
+				is.True(announced)
+				is.Equal(last, uint32(1))
+			})
+		}
+	}
+}
