entry: let net/http announce the close of idle HTTP/2 connections

What callers saw: an idle connection of HTTP/2 ended without GOAWAY, so a caller that used it at that moment could not tell whether its request ran.

Cause: the timer of idle connections and that of net/http have the same limit unless operators lower it. The first closes the connection at once, mostly before the second has sent GOAWAY.

Change: while the limit of http.Server is in force, connections of HTTP/2 are left to its timer, which sends GOAWAY and closes the connection one second later. If operators have set a lower limit, they are still closed without GOAWAY, and only if nothing has arrived on them.

--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/internal/tlsconf/tlstest"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // framesCaller is a connection of a caller that reads and writes frames of HTTP/2 itself.
@@ -99,6 +100,7 @@
 			t.Cleanup(cancel)
 			go func() { _ = h.entry.Shutdown(ctx) }()
 		}},
+		{"idle timeout", func(s *settings.Settings) { s.Limits.IdleTimeout = table.Duration(300 * time.Millisecond) }, func(*testing.T, *harness) {}},
 	} {
 		for name, encrypted := range map[string]bool{"plain": false, "tls": true} {
 			t.Run(c.name+", "+name, func(t *testing.T) {
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -9,8 +9,10 @@
 
 // idleConns closes callers' connections that are idle for longer than the limit in
 // force. The idle timeout of http.Server is fixed at the start, while operators can
-// change the limit in the tables.
+// change the limit in the tables. Connections of HTTP/2 are left to http.Server while its limit is in force, because it
+// announces their close with GOAWAY.
 type idleConns struct {
+	own   time.Duration // the limit of http.Server
 	limit func() time.Duration
 	mu    sync.Mutex
 	idle  map[net.Conn]*idleTimer
@@ -21,8 +23,8 @@
 	since time.Time
 }
 
-func newIdleConns(limit func() time.Duration) *idleConns {
-	return &idleConns{limit: limit, idle: map[net.Conn]*idleTimer{}}
+func newIdleConns(own time.Duration, limit func() time.Duration) *idleConns {
+	return &idleConns{own: own, limit: limit, idle: map[net.Conn]*idleTimer{}}
 }
 
 // connState starts and stops the idle timer of a connection; it is a ConnState hook of http.Server.
@@ -58,7 +60,9 @@
 	}
 	left := limit - time.Since(t.since)
 	if left <= 0 {
-		if conn := callerConn(c); conn == nil || conn.RetireIdle() {
+		conn := callerConn(c)
+		announced := conn != nil && limit >= i.own && conn.IsHTTP2()
+		if !announced && (conn == nil || conn.RetireIdle()) {
 			return true
 		}
 		left = limit
