entry: refuse requests that still wait when the process is about to end

What callers saw: a request that was read before the SIGTERM and still waited for a permit at the end of the grace period got neither a response nor a refusal; its connection ended with the process.

Cause: SetEnd refuses only requests that arrive after it. What was admitted before waits until its own deadline, which may be later than the end of the process. The same holds for waits for quarantine, a rate, a claim, a retry and for a stream to an instance in the home regions.

Change: 200 ms before the end, waits of requests that are not being sent to an upstream end, and these get the refusal "leaving". Those at which an upstream is at work are not broken off: TestRunningRequestIsNotBrokenOffBeforeTheProcessEnds.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -27,6 +27,7 @@
 	failDeadline          // the deadline passed
 	failCancelled         // the caller disconnected or another copy won
 	failBody              // reading the request body from the caller failed
+	failLeaving           // the process is about to end, and no byte was written
 )
 
 // attempt is one attempt to send a request to one upstream.
@@ -49,6 +50,7 @@
 	sent      bool
 	err       error
 	ended     bool
+	sending   bool // guarded by the exchange's mutex
 	hedged    bool // run by a goroutine of its own
 	second    bool // the second copy of a request
 	// hedgeAvoid lists the upstreams that get this second copy only if no other one has room.
@@ -83,11 +85,14 @@
 		x.live = x.liveBuf[:0]
 	}
 	x.live = append(x.live, a)
-	expired := x.expired
+	expired, ending := x.expired, x.ending && phase(x.phase.Load()) == phaseStart
 	x.mu.Unlock()
 	if expired {
 		cancel(errDeadline)
 	}
+	if ending {
+		cancel(errLeaving)
+	}
 	return a
 }
 
@@ -225,6 +230,10 @@
 
 // exchange sends the request on the attempt's connection and waits for the response header.
 func (a *attempt) exchange() {
+	if !a.startSending() {
+		a.resp, a.sent, a.err = nil, false, errLeaving
+		return
+	}
 	a.sentAt = time.Now()
 	var req *http.Request
 	if req, a.err = a.request(); a.err != nil {
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -15,6 +15,8 @@
 	case f == failBody: // net/http cancels the request's context when its body fails
 	case errors.Is(cause, errDeadline):
 		a.fail = failDeadline
+	case errors.Is(cause, errLeaving):
+		a.fail = failLeaving
 	case errors.Is(cause, errPermitRevoked): // the caller is still waiting
 	case cause != nil:
 		a.fail = failCancelled
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -16,13 +16,16 @@
 
 // runOnce runs a request with an identity at most once.
 func (x *exchange) runOnce() *Refusal {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
+	ctx, cancel := x.waitContext()
 	state, ticket, stored, err := x.e.ports.Claims.Begin(ctx, ClaimRequest{Route: &x.route, Identity: x.claimIdentity(), Digest: x.claimDigest()})
+	cancel()
 	if err != nil {
 		if x.pastDeadline() {
 			return refuseDeadline()
 		}
+		if x.isEnding() {
+			return refuseLeaving()
+		}
 		return refuseClaim("no-record", "the at-most-once record of the request cannot be read", "try again with the same identity", http.StatusServiceUnavailable)
 	}
 	switch state {
--- /dev/null
+++ b/internal/entry/ending_test.go
@@ -0,0 +1,124 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/table"
+)
+
+// endless waits until the context of each wait ends.
+type endless struct{ noQuarantine }
+
+func (endless) Acquire(ctx context.Context, _ AcquireRequest) (Permit, error) {
+	<-ctx.Done()
+	return nil, fault.New(fault.Unavailable, "no permit became free", "try again")
+}
+
+func (endless) Admit(ctx context.Context, _ *table.Route, _ Fingerprint) (Admission, bool) {
+	<-ctx.Done()
+	return Admission{}, false
+}
+
+func (endless) Begin(ctx context.Context, _ ClaimRequest) (ClaimState, Ticket, *StoredResponse, error) {
+	<-ctx.Done()
+	return "", nil, nil, context.Cause(ctx)
+}
+
+// endlessRelay waits for a stream until the context ends.
+type endlessRelay struct{}
+
+func (endlessRelay) Open(ctx context.Context, _ []string) (net.Conn, string, error) {
+	<-ctx.Done()
+	return nil, "", ctx.Err()
+}
+
+// Guards against requests that still wait when the process ends and get neither a response nor a refusal.
+func TestWaitingRequestIsRefusedBeforeTheProcessEnds(t *testing.T) {
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	for _, c := range []struct {
+		name    string
+		set     func(*Ports)
+		header  []string
+		outcome Outcome
+	}{
+		{"for a permit", func(p *Ports) { p.Placement = endless{} }, nil, NotRun},
+		{"for quarantine", func(p *Ports) { p.Quarantine = endless{} }, nil, NotRun},
+		{"for a claim", func(p *Ports) { p.Claims = endless{} }, identity, Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, testRoute(), []string{upstream}, withPorts(c.set))
+			replies := make(chan reply, 1)
+			go func() { replies <- h.do("POST", "/", nil, c.header...) }()
+			waitRunning(h, 1)
+			end := time.Now().Add(time.Second)
+			h.entry.SetEnd(end)
+			select {
+			case r := <-replies:
+				is.NoErr(r.err)
+				is.Equal(r.status, 503)
+				is.Equal(r.outcome(), string(c.outcome))
+				is.True(time.Now().After(end.Add(-2 * endMargin))) // it waits for as long as it can be served
+			case <-time.After(time.Until(end)):
+				t.Fatal("the process ends before the request has a response")
+			}
+		})
+	}
+}
+
+// Guards against a relayed request that still waits for another instance when the process ends.
+func TestWaitForARelayEndsBeforeTheProcess(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, homeRoute(), []string{closedAddress(t)}, withPorts(func(p *Ports) { p.Relay = endlessRelay{} }))
+	replies := make(chan reply, 1)
+	go func() { replies <- h.do("GET", "/", nil) }()
+	waitRunning(h, 1)
+	end := time.Now().Add(time.Second)
+	h.entry.SetEnd(end)
+	select {
+	case r := <-replies:
+		is.NoErr(r.err)
+		is.Equal(r.status, 503)
+		is.Equal(r.outcome(), string(NotRun))
+	case <-time.After(time.Until(end)):
+		t.Fatal("the process ends before the request has a response")
+	}
+}
+
+// Guards against breaking off a request at which an upstream is at work, and that may end in time.
+func TestRunningRequestIsNotBrokenOffBeforeTheProcessEnds(t *testing.T) {
+	is := is.New(t)
+	began, answer := make(chan struct{}), make(chan struct{})
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-answer
+		_, _ = io.WriteString(w, "served")
+	}))
+	h := newHarness(t, testRoute(), []string{upstream})
+	replies := make(chan reply, 1)
+	go func() { replies <- h.do("GET", "/", nil) }()
+	<-began
+	h.entry.SetEnd(time.Now().Add(endMargin)) // waits end at once
+	time.Sleep(endMargin / 2)
+	close(answer)
+	r := <-replies
+	is.NoErr(r.err)
+	is.Equal(r.status, 200)
+	is.Equal(r.body, "served")
+}
+
+func waitRunning(h *harness, n int64) {
+	h.t.Helper()
+	for h.entry.Running() < n {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond) // it waits now
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,7 @@
 	leaving  atomic.Bool
 	endsAt   atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
 	running  atomic.Int64
+	waiting  waitingRequests
 }
 
 var (
@@ -229,8 +230,12 @@
 func (e *Entry) SetLeaving() { e.leaving.Store(true) }
 
 // SetEnd sets when the process ends at the latest, whatever still runs. Requests that may last longer are refused
-// from now on, since their callers can still turn to other instances.
-func (e *Entry) SetEnd(at time.Time) { e.endsAt.Store(&at) }
+// from now on, since their callers can still turn to other instances. Those that still wait when the process is about to
+// end are refused then.
+func (e *Entry) SetEnd(at time.Time) {
+	e.endsAt.Store(&at)
+	e.waiting.endAt(at.Add(-endMargin))
+}
 
 // endMargin is kept between the last response and the end of the process, for the caller to receive it.
 const endMargin = 200 * time.Millisecond
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -79,6 +80,8 @@
 	tried   []string
 	no1xx   bool // no more 1xx responses may be sent to the caller
 	expired bool
+	ending  bool               // see endWaits
+	endWait context.CancelFunc // of waitContext; nil if there is no such wait
 
 	headerValues     [maxHeaderValues]string
 	headerValuesUsed int
@@ -125,6 +128,8 @@
 	x.firstTry = reusesConnection(r.Context()) && e.proto.RetryOpensConnection
 	e.running.Add(1)
 	defer e.running.Add(-1)
+	e.waiting.add(x)
+	defer e.waiting.remove(x)
 	defer x.forbid1xx() // a connection to an upstream may outlast the request
 	defer x.releaseMemory()
 	defer x.recoverServe()
--- a/internal/entry/rates.go
+++ b/internal/entry/rates.go
@@ -30,9 +30,12 @@
 	if x.e.ports.Rates == nil || !(x.workspaceRate() > 0) {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	ctx, cancel := x.waitContext()
 	defer cancel()
 	release, after, ok := x.e.ports.Rates.Admit(ctx, x.keyWorkspace, x.isLate())
+	if !ok && x.isEnding() {
+		return refuseLeaving()
+	}
 	if !ok {
 		return refuseOverQuota(after)
 	}
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -23,7 +23,7 @@
 		switch {
 		case a.fail == failNone:
 			return a, nil
-		case a.fail == failPlacement && last != nil:
+		case (a.fail == failPlacement || a.fail == failLeaving) && last != nil:
 			return x.resolveFailure(last) // the earlier failure is more informative than the lack of another upstream
 		case !x.mayRetry(a, n):
 			return x.resolveFailure(a)
@@ -40,7 +40,7 @@
 // passQuarantine waits at most until the deadline for quarantine to admit the request.
 // releaseQuarantine ends the admission.
 func (x *exchange) passQuarantine() *Refusal {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	ctx, cancel := x.waitContext()
 	defer cancel()
 	admission, ok := x.e.ports.Quarantine.Admit(ctx, &x.route, x.fingerprint)
 	if ok {
@@ -51,6 +51,9 @@
 	if x.pastDeadline() {
 		return refuseDeadline()
 	}
+	if x.isEnding() {
+		return refuseLeaving()
+	}
 	return refuseQuarantined(admission.RetryAfter, x.maybeRan.Load() && x.e.proto.Outcome == "")
 }
 
@@ -97,7 +100,9 @@
 		return false
 	}
 	x.e.metrics.retries(x.pool.Name).Inc()
-	return pause.For(x.r.Context(), wait)
+	ctx, cancel := x.waitContext()
+	defer cancel()
+	return pause.For(ctx, wait)
 }
 
 // runs returns the number of attempts that may have run.
@@ -132,6 +137,8 @@
 		return nil, refuseShed(x.retryAfterShed())
 	case failDeadline:
 		return nil, refuseDeadline()
+	case failLeaving:
+		return nil, refuseLeaving()
 	case failBody:
 		return nil, x.bodyRefusal(x.body.failed())
 	}
@@ -247,7 +254,7 @@
 	}
 	if winner.fail != failNone {
 		other := <-results
-		if other.fail == failNone || winner.fail == failPlacement {
+		if other.fail == failNone || winner.fail == failPlacement || winner.fail == failLeaving {
 			winner, other = other, winner
 		}
 		x.discardLoser(other)
