entry: keep the caller's connection when the deadline passes during interim responses

What callers saw: a request whose upstream sent 1xx responses when its deadline passed ended without 504: the connection of HTTP/1.1 was closed, the stream of HTTP/2 reset with INTERNAL_ERROR.

Cause: the deadline of a request was also the write deadline of a 1xx response. A write that begins at that time fails even if the caller reads, and net/http then sends nothing more on the connection or stream.

Change: no 1xx response is forwarded after the deadline, and a write that began before it has one more second.

--- a/internal/entry/interim_test.go
+++ b/internal/entry/interim_test.go
@@ -8,6 +8,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // Guards against an instance that ends, with all its requests, because an interim response was forwarded to a caller that
@@ -53,3 +55,44 @@
 		})
 	}
 }
+
+// Guards against a connection or stream that ends without a refusal because an interim response was forwarded when the
+// deadline passed.
+func TestInterimResponsesAtTheDeadlineAreFollowedByARefusal(t *testing.T) {
+	const deadline = 200 * time.Millisecond
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(deadline - 10*time.Millisecond)
+		for range maxInterimResponses {
+			w.WriteHeader(http.StatusEarlyHints)
+			time.Sleep(250 * time.Microsecond)
+		}
+	}))
+	h2c := new(http.Protocols)
+	h2c.SetUnencryptedHTTP2(true)
+	for name, protocols := range map[string]*http.Protocols{"HTTP/1.1": nil, "HTTP/2": h2c} {
+		t.Run(name, func(t *testing.T) {
+			route := testRoute()
+			route.Deadline = table.Duration(deadline)
+			h := newHarness(t, route, []string{upstream})
+			client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+			defer client.CloseIdleConnections()
+			var callers sync.WaitGroup
+			for range 8 {
+				callers.Go(func() {
+					for range 10 {
+						resp, err := client.Post(h.url, "", nil)
+						if err != nil {
+							t.Error(err)
+							continue
+						}
+						_ = resp.Body.Close()
+						if resp.StatusCode != http.StatusGatewayTimeout {
+							t.Error(resp.Status)
+						}
+					}
+				})
+			}
+			callers.Wait()
+		})
+	}
+}
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -16,6 +16,10 @@
 // maxInterimResponses bounds the 1xx responses to one attempt. Their headers together are bounded by maxResponseHeader.
 const maxInterimResponses = 64
 
+// interimWriteTime is the time after the deadline of a request at which the write of a 1xx response fails. After a failed write,
+// the connection or stream can carry no refusal, so one that begins before the deadline has time to end.
+const interimWriteTime = time.Second
+
 var errInterimResponses = errors.New("the upstream sent too many 1xx responses")
 
 // with1xxTrace forwards 1xx responses to the caller. They are dropped for requests that may be hedged.
@@ -42,7 +46,7 @@
 	if a.interimResponses > maxInterimResponses || a.interimBytes > maxResponseHeader {
 		return errInterimResponses
 	}
-	if x.no1xx || code == http.StatusContinue {
+	if x.no1xx || code == http.StatusContinue || x.pastDeadline() {
 		return nil
 	}
 	h := x.w.Header()
@@ -51,7 +55,7 @@
 	// it goes on reading the header of a caller on HTTP/2 that leaves in this moment.
 	h["Content-Length"] = nil
 	// The watchdog cannot end this write, which holds the mutex that it needs.
-	_ = x.control.SetWriteDeadline(x.deadline)
+	_ = x.control.SetWriteDeadline(x.deadline.Add(interimWriteTime))
 	x.w.WriteHeader(code)
 	_ = x.control.SetWriteDeadline(time.Time{})
 	delete(h, "Content-Length")
