admin: answer running requests when the process ends

What callers saw: a request to the admin listener, such as a readiness check, that ran when the process ended got no response.

Cause: Run closes the server, with all connections, when its context ends.

Evidence: TestRunningRequestIsAnsweredBeforeRunReturns fails in 20 of 20 runs before this change and passes in 20 of 20 with the race detector after it.

Change: Run waits up to 100 ms for running requests. Longer ones, such as profiles, end with the process.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/pprof"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
@@ -93,17 +94,33 @@
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
-// Run serves until ctx ends.
+// drainTime bounds the wait for running requests at the end of the process.
+const drainTime = 100 * time.Millisecond
+
+// Run serves until ctx ends, and then waits for running requests.
 func (s *Server) Run(ctx context.Context) error {
 	l, err := net.Listen("tcp", s.cfg.Listen)
 	if err != nil {
 		return err
 	}
+	return s.serve(ctx, l)
+}
+
+func (s *Server) serve(ctx context.Context, l net.Listener) error {
 	server := &http.Server{Handler: s.router}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	drained := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(drained)
+		drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTime)
+		defer cancel()
+		if server.Shutdown(drain) != nil { // requests still run, such as profiles
+			_ = server.Close()
+		}
+	})
 	defer stop()
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-drained
 	return ctx.Err()
 }
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,10 +1,15 @@
 package admin
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -65,3 +70,47 @@
 	is.NoErr(err)
 	is.True(!strings.Contains(string(empty), "null")) // empty lists are [], not null, for programs that read them
 }
+
+// Guards against a request to the admin listener that is cut when the process ends.
+func TestRunningRequestIsAnsweredBeforeRunReturns(t *testing.T) {
+	is := is.New(t)
+	began := make(chan struct{})
+	s := New(settings.Admin{}, nil, func() any {
+		close(began)
+		time.Sleep(drainTime / 4)
+		return "running"
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.serve(ctx, l) }()
+	go func() { <-began; cancel() }()
+	resp, err := http.Get("http://" + l.Addr().String() + "/status")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	is.Equal(resp.StatusCode, 200)
+	is.True(errors.Is(<-ended, context.Canceled))
+}
+
+// Guards against a process that does not end because a request to the admin listener goes on.
+func TestLongRequestEndsWithTheProcess(t *testing.T) {
+	is := is.New(t)
+	began, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	s := New(settings.Admin{}, nil, func() any {
+		close(began)
+		<-release
+		return nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-began; cancel() }()
+	go func() {
+		if resp, err := http.Get("http://" + l.Addr().String() + "/status"); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	is.True(errors.Is(s.serve(ctx, l), context.Canceled))
+}
