entry: let a timer that has expired act only if its limit has passed

What callers saw: a request whose response came at its deadline ended with neither a whole response nor a refusal; its connection was closed, before or within the response.

Cause: the timer of an exchange chooses by the phase that it finds when it runs. If the response had arrived in between, the attempt was cancelled for a limit that had not passed. If the deadline had cancelled the attempt and the response header had arrived before, the response was begun although it could not end. A timer of a slow write could also set the write deadline of the connection's next request.

Change: phase and limit are set together under the mutex of the exchange, and the timer does nothing before the limit or after the end. A response is begun under the same mutex unless the deadline has cancelled its attempt; then the request is refused with 504.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -50,6 +50,7 @@
 	sent      bool
 	err       error
 	ended     bool
+	whole     bool // the whole response has been read
 	sending   bool // guarded by the exchange's mutex
 	hedged    bool // run by a goroutine of its own
 	second    bool // the second copy of a request
@@ -85,7 +86,7 @@
 		x.live = x.liveBuf[:0]
 	}
 	x.live = append(x.live, a)
-	expired, ending := x.expired, x.ending && phase(x.phase.Load()) == phaseStart
+	expired, ending := x.expired, x.ending && x.phase == phaseStart
 	x.mu.Unlock()
 	if expired {
 		cancel(errDeadline)
@@ -360,6 +361,7 @@
 	}
 	if err == io.EOF {
 		a.x.responseDeadline = time.Time{} // the whole response has been read
+		a.whole = true
 	}
 	body := a.resp.Body
 	a.resp.Body = struct {
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -62,7 +62,7 @@
 func (x *exchange) endWaits() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if phase(x.phase.Load()) != phaseStart {
+	if x.phase != phaseStart {
 		return
 	}
 	x.ending = true
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -30,6 +30,7 @@
 	phaseStart   phase = iota // the time until the start of the response
 	phaseReading              // the wait for the next bytes of the response
 	phaseWriting              // the wait for the caller to read bytes
+	phaseEnded
 )
 
 // exchange is the state of one request of a caller.
@@ -71,7 +72,6 @@
 	claimReleased bool // the claim was granted to this exchange and released
 
 	watchdog *time.Timer
-	phase    atomic.Int32
 	// maybeRan is set when an attempt whose response is not sent to the caller may have run the request.
 	maybeRan atomic.Bool
 
@@ -80,6 +80,8 @@
 	tried   []string
 	no1xx   bool // no more 1xx responses may be sent to the caller
 	expired bool
+	phase   phase
+	limit   time.Time          // when the watchdog timer expires in this phase
 	ending  bool               // see endWaits
 	endWait context.CancelFunc // of waitContext; nil if there is no such wait
 
@@ -278,6 +280,9 @@
 	} else {
 		x.openBody(replayLimit)
 	}
+	x.mu.Lock()
+	x.limit = x.deadline
+	x.mu.Unlock()
 	x.watchdog = time.AfterFunc(limit, x.expire)
 	return nil
 }
@@ -297,14 +302,21 @@
 	return int64(x.e.limits().BodyBytes)
 }
 
-// expire handles the expiry of the watchdog timer in the current phase.
+// expire handles the expiry of the watchdog timer in the current phase. A timer that has expired cannot be stopped, and the
+// exchange may have made progress since.
 func (x *exchange) expire() {
-	switch phase(x.phase.Load()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if time.Now().Before(x.limit) {
+		return
+	}
+	switch x.phase {
 	case phaseStart:
-		x.cancelAttempts(errDeadline)
+		x.expired = true
+		x.cancelLive(errDeadline)
 		x.interruptBody()
 	case phaseReading:
-		x.cancelAttempts(errStalled)
+		x.cancelLive(errStalled)
 	case phaseWriting:
 		_ = x.control.SetWriteDeadline(time.Unix(1, 0))
 	}
@@ -313,7 +325,11 @@
 func (x *exchange) cancelAttempts(cause error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.expired = x.expired || cause == errDeadline
+	x.cancelLive(cause)
+}
+
+// cancelLive cancels the live attempts. The mutex is held.
+func (x *exchange) cancelLive(cause error) {
 	for _, a := range x.live {
 		a.cancel(cause)
 	}
@@ -330,14 +346,31 @@
 // responseDeadline; without one the response must make progress. Bytes that
 // have already been received are still written after responseDeadline.
 func (x *exchange) watch(p phase) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.watchLocked(p)
+}
+
+func (x *exchange) watchLocked(p phase) {
 	limit := x.e.timing.responseStall
 	if p == phaseReading && !x.responseDeadline.IsZero() {
 		limit = max(time.Until(x.responseDeadline), 0)
 	}
-	x.phase.Store(int32(p))
+	x.phase, x.limit = p, time.Now().Add(limit)
 	x.watchdog.Reset(limit)
 }
 
+// startResponse begins the response of an attempt, or reports false if the deadline has cancelled the attempt before.
+func (x *exchange) startResponse(a *attempt) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.expired && !a.whole {
+		return false
+	}
+	x.watchLocked(phaseReading)
+	return true
+}
+
 // pastResponseDeadline reports whether the deadline for the end of the response has passed.
 func (x *exchange) pastResponseDeadline() bool {
 	return !x.responseDeadline.IsZero() && !time.Now().Before(x.responseDeadline)
@@ -350,6 +383,9 @@
 func (x *exchange) close() {
 	if x.watchdog != nil {
 		x.watchdog.Stop()
+		x.mu.Lock()
+		x.phase = phaseEnded
+		x.mu.Unlock()
 	}
 	x.body.close()
 	if x.body != nil {
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -79,11 +79,18 @@
 // repeated request finds it.
 func (x *exchange) sendResponse(a *attempt, t Ticket) *Refusal {
 	x.forbid1xx()
+	if !x.startResponse(a) {
+		x.maybeRan.Store(true)
+		a.end(EndTimedOut, false)
+		if t != nil {
+			x.settleClaim(t)
+		}
+		return refuseDeadline()
+	}
 	x.report.upstream = a.upstream.ID
 	buf := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buf)
 	c := &copier{x: x, a: a, buf: *buf, resume: newResumption(x, a)}
-	x.watch(phaseReading)
 	if t != nil {
 		return c.sendRecorded(t)
 	}
