entry: let the timer of a request body interrupt only the read that it limits

What callers saw: by reading, a request whose body made progress just as the limit of its pause was reached was refused as too slow, or, if these were its last bytes, ended with 502.

Cause: a timer that has expired cannot be stopped. It set the read deadline of the caller's connection also if the read had ended with bytes in time.

Change: the timer does nothing if no read is in progress or the limit of the read has not passed.

--- a/internal/entry/pace.go
+++ b/internal/entry/pace.go
@@ -28,7 +28,9 @@
 	mu          sync.Mutex
 	closed      bool
 	interrupted atomic.Bool
+	reading     bool
 	started     time.Time
+	limit       time.Time // when the timer expires
 	waited      time.Duration
 	bytes       int64
 }
@@ -37,15 +39,28 @@
 func newProgressMonitor(limits progressLimits, interrupt func()) *progressMonitor {
 	p := &progressMonitor{progressLimits: limits}
 	p.interrupt = interrupt
-	p.timer = time.AfterFunc(limits.stall, p.interruptNow)
+	p.timer = time.AfterFunc(limits.stall, p.expire)
 	p.timer.Stop()
 	return p
 }
 
+// expire handles the expiry of the timer, unless the read that it limits has ended.
+func (p *progressMonitor) expire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reading && !time.Now().Before(p.limit) {
+		p.interruptLocked()
+	}
+}
+
 // interruptNow unblocks a pending read and makes all later ones fail.
 func (p *progressMonitor) interruptNow() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.interruptLocked()
+}
+
+func (p *progressMonitor) interruptLocked() {
 	if !p.closed {
 		p.interrupted.Store(true)
 		p.interrupt()
@@ -62,16 +77,22 @@
 
 // beginRead is called before a read and starts its timer.
 func (p *progressMonitor) beginRead() {
-	p.started = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading, p.started = true, time.Now()
 	limit := p.stall
 	if p.waited > p.grace && float64(p.bytes) < p.waited.Seconds()*p.rate {
 		limit = 0
 	}
+	p.limit = p.started.Add(limit)
 	p.timer.Reset(limit)
 }
 
 // endRead is called after a read of n bytes and reports whether it was interrupted.
 func (p *progressMonitor) endRead(n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading = false
 	p.timer.Stop()
 	p.waited += time.Since(p.started)
 	p.bytes += int64(n)
