daemon: refuse streams of relayed requests once the instance stops

What callers saw: by reading, a request that another instance relayed to one that had stopped serving ended with 502, and with an unknown outcome, though it had not run.

Cause: the instance accepted the stream, so that the other one sent the request, and closed it without a response.

Change: before the entry shuts down, the stream service has no handler any more. Streams are then refused before anything is sent, and the relaying instance tries others. Relayed requests that have been accepted run on.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -17,6 +17,7 @@
 	base
 	*entry.Entry
 	quarantine *quarantineService
+	transport  peer.Transport
 }
 
 var (
@@ -59,6 +60,7 @@
 		Placement: entryPlacement{p}, Claims: &claims{records.Coordinator, c.cfg.Regions}, Quarantine: c.quarantine,
 		Retries: extra, Hedger: extra, Relay: &relay{transport, live}, Observers: []entry.Observer{l, extra, c.quarantine},
 	}, c.log)
+	c.transport = transport
 	transport.HandleStream(relayService, func(_ peer.InstanceID, conn net.Conn) { c.ServeRelayed(conn) })
 	return nil
 }
@@ -69,6 +71,12 @@
 	return c.Entry.Run(ctx)
 }
 
+// Shutdown implements kernel.Stopper. Streams of relayed requests are refused first, so that these go to other instances.
+func (c *entryServer) Shutdown(ctx context.Context) error {
+	c.transport.HandleStream(relayService, nil)
+	return c.Entry.Shutdown(ctx)
+}
+
 // leaveNotifier is shut down first. It announces that the instance is leaving, and keeps
 // the listeners open until the platform's balancer has had time to notice it.
 type leaveNotifier struct {
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -52,6 +52,6 @@
 	Open(ctx context.Context, to InstanceID, service string) (net.Conn, error)
 	// Handle registers the handler of a service; it is called before the transport runs.
 	Handle(service string, h Handler)
-	// HandleStream registers the stream handler of a service.
+	// HandleStream registers the stream handler of a service. With nil, streams are refused with an Unavailable fault.
 	HandleStream(service string, h StreamHandler)
 }
