--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,7 @@
 	leaving  atomic.Bool
 	endsAt   atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
 	running  atomic.Int64
+	waiting  waitingRequests
 }
 
 var (
@@ -112,7 +113,7 @@
 		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
 		Timeout:  func() time.Duration { return e.limits().HeaderTimeout.Std() },
 	}
-	idle := newIdleConns(func() time.Duration { return e.limits().IdleTimeout.Std() })
+	idle := newIdleConns(cfg.Limits.IdleTimeout.Std(), func() time.Duration { return e.limits().IdleTimeout.Std() })
 	e.server.ConnState = func(c net.Conn, s http.ConnState) {
 		idle.connState(c, s)
 		enterPhase(c, s)
@@ -229,8 +230,12 @@
 func (e *Entry) SetLeaving() { e.leaving.Store(true) }
 
 // SetEnd sets when the process ends at the latest, whatever still runs. Requests that may last longer are refused
-// from now on, since their callers can still turn to other instances.
-func (e *Entry) SetEnd(at time.Time) { e.endsAt.Store(&at) }
+// from now on, since their callers can still turn to other instances. Those that still wait when the process is about to
+// end are refused then.
+func (e *Entry) SetEnd(at time.Time) {
+	e.endsAt.Store(&at)
+	e.waiting.endAt(at.Add(-endMargin))
+}
 
 // endMargin is kept between the last response and the end of the process, for the caller to receive it.
 const endMargin = 200 * time.Millisecond
@@ -263,8 +268,8 @@
 	newConnWait = time.Second
 )
 
-// closeCallers closes connections as they become idle, until none is left. http.Server.Shutdown would drop requests that
-// were read and not handled yet, so it is called when there are none.
+// closeCallers closes connections as they become idle, until only those of HTTP/2 are left. http.Server.Shutdown would drop
+// requests of HTTP/1.1 that were read and not handled yet, so it is called when there are none.
 func (e *Entry) closeCallers(ctx context.Context) {
 	tick := time.NewTicker(closeInterval)
 	defer tick.Stop()
