callers: keep unfinished header sections that are being parsed in their queue

What callers saw: while memory was short, a caller was closed although older unfinished header sections held the memory.

Cause: a section whose bytes were being parsed could not be closed, and left the queue of unfinished sections. It kept its memory and did not return to the queue before more of it arrived. Two readers could also take each other out of the queue.

Such a section is now passed over and stays.

--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -57,27 +57,32 @@
 	}
 	s.mu.Unlock()
 	for !s.Budget.Take(n) {
-		s.mu.Lock()
-		front := s.reading.first
-		s.mu.Unlock()
-		if front == nil {
+		oldest := s.retireOldest(c)
+		if oldest == nil {
 			return false
 		}
-		oldest := front.owner
+		s.OnClose(ReasonMemory)
 		if oldest == c {
-			s.OnClose(ReasonMemory)
 			return false
 		}
-		if !oldest.retire() { // its section has ended, or it is closed
-			s.finish(oldest)
-			continue
-		}
-		s.OnClose(ReasonMemory)
 		oldest.closeFor(ReasonMemory) // its reader sees the error
 	}
 	return true
 }
 
+// retireOldest returns the connection with the oldest unfinished section, which is c or is retired. It is nil if c has been
+// closed meanwhile.
+func (s *Sections) retireOldest(c *Conn) *Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for n := s.reading.first; n != nil; n = n.next {
+		if n.owner == c || n.owner.retire() {
+			return n.owner
+		}
+	}
+	return nil
+}
+
 // finish takes c out of the unfinished sections.
 func (s *Sections) finish(c *Conn) {
 	s.mu.Lock()
