callers: keep a connection while its refusal is written

What callers saw: the refusal of a header section over the limit did not arrive when a new connection took the place of theirs.

Cause: the connection was marked as without a request before the refusal was written, so the guard could choose it.

The connection is now kept until its refusal has been sent and the time for the caller to read it has passed.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -229,12 +229,6 @@
 
 func (c *Conn) retireUnlessArriving() bool { return !socket.HasUnread(c.raw) && c.retireLocked() }
 
-func (c *Conn) setDelivered(v bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.delivered = v
-}
-
 // count adds bytes to the header section, if one is being read, and returns what they cost.
 func (c *Conn) count(p []byte) (cost int64, tooLarge bool) {
 	c.mu.Lock()
@@ -312,7 +306,6 @@
 // refuse sends a refusal and waits until the caller can have read it.
 func (c *Conn) refuse() {
 	c.sections.OnClose(ReasonHeader)
-	c.setDelivered(false) // the refusal is the answer
 	c.release()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
 	c.sections.Refuse(c.Conn)
