callers: apply the operators' idle limit to encrypted connections that receive frames

What callers saw: nothing; operators saw idle connections that stayed for longer than their limit.

Cause: a connection on which a header section has begun is not idle. On an encrypted one, any bytes since the last request counted as that, such as HTTP/2 frames or a part of a record.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -212,7 +212,7 @@
 func (c *Conn) RetireIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.phase != PhaseIdle || c.size > 0 || !c.retireUnlessArriving() {
+	if c.phase != PhaseIdle || !c.retireIfQuiet() {
 		return false
 	}
 	c.reason = ReasonIdle
@@ -224,10 +224,14 @@
 func (c *Conn) retireQuiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return (c.encrypted || c.size == 0) && c.retireUnlessArriving()
+	return c.retireIfQuiet()
 }
 
-func (c *Conn) retireUnlessArriving() bool { return !socket.HasUnread(c.raw) && c.retireLocked() }
+// retireIfQuiet retires the connection unless bytes of a section have been read, which is not known if it is encrypted, or
+// have arrived.
+func (c *Conn) retireIfQuiet() bool {
+	return (c.encrypted || c.size == 0) && !socket.HasUnread(c.raw) && c.retireLocked()
+}
 
 // count adds bytes to the header section, if one is being read, and returns what they cost.
 func (c *Conn) count(p []byte) (cost int64, tooLarge bool) {
