callers: let HTTP/2 connections write their last response before they give their place

What callers saw: on HTTP/2 a request ran and its response was cut when a new connection took the place of theirs.

Cause: net/http reports a connection as idle when its last stream is closed, before it has written the end of the response.

A connection of HTTP/2 is not closed within a second of becoming idle.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -99,6 +99,9 @@
 	charged   int64
 	closed    bool
 
+	multiplexed bool      // HTTP/2
+	settlesAt   time.Time // until when the last response may not have been written
+
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
 
@@ -111,6 +114,9 @@
 
 var _ net.Conn = (*Conn)(nil)
 
+// settleTime is the time for net/http to write the last response of an HTTP/2 connection, which it reports as idle before.
+const settleTime = time.Second
+
 // errClosed is the error of a read on a connection that is closed because of its header section. net/http sends no
 // response of its own after an error of this kind.
 var errClosed = &net.OpError{Op: "read", Err: net.ErrClosed}
@@ -201,7 +207,7 @@
 }
 
 func (c *Conn) retireLocked() bool {
-	if c.retired || c.delivered || c.phase == PhaseActive {
+	if c.retired || c.delivered || c.phase == PhaseActive || c.settlesAt.After(time.Now()) {
 		return false
 	}
 	c.retired = true
@@ -323,6 +329,9 @@
 	c.phase = p
 	if p == PhaseIdle {
 		c.delivered = !c.waiting // net/http may have read the next request together with the last one
+		if c.multiplexed {
+			c.settlesAt = time.Now().Add(settleTime)
+		}
 	}
 	c.mu.Unlock()
 	c.member.Enter(p)
--- a/internal/callers/http2.go
+++ b/internal/callers/http2.go
@@ -15,7 +15,12 @@
 }
 
 // SetHTTP2 records that the connection is one of HTTP/2. See Guard.CloseQuiet.
-func (c *Conn) SetHTTP2() { c.member.setHTTP2() }
+func (c *Conn) SetHTTP2() {
+	c.mu.Lock()
+	c.multiplexed = true
+	c.mu.Unlock()
+	c.member.setHTTP2()
+}
 
 // IsHTTP2 reports whether SetHTTP2 was called.
 func (c *Conn) IsHTTP2() bool { return c.member.isHTTP2() }
