entry: count a connection that is accepted while the instance leaves

What callers saw: a request that was read got neither an answer nor a refusal.

Cause: the shutdown closed the listener and looked at the connections. One that had been accepted and not yet joined was not among them, so http.Server.Shutdown was called, which drops a request that it has read and not handled yet.

The shutdown now waits until nothing more is accepted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -65,7 +65,8 @@
 	relayDialer   *relayDialer
 
 	listener atomic.Pointer[callers.Listener]
-	stopping atomic.Bool // the listener is closed, or will be
+	accepted chan struct{} // closed when no more connections are accepted
+	stopping atomic.Bool   // the listener is closed, or will be
 	leaving  atomic.Bool
 	endsAt   atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
 	running  atomic.Int64
@@ -99,6 +100,7 @@
 	e.conns = newConnPools(newDialer(maxResponseHeader), instances)
 	e.relayDialer = newRelayDialer(maxResponseHeader)
 	e.relayListener = newStreamListener()
+	e.accepted = make(chan struct{})
 	e.server = e.newServer(false)
 	e.server.Protocols = new(http.Protocols)
 	e.server.Protocols.SetHTTP1(true)
@@ -184,6 +186,7 @@
 
 func (e *Entry) serveCallers(l net.Listener) error {
 	own := &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil, OnClosing: e.connectionClosing}
+	defer close(e.accepted)
 	if e.listener.Store(own); e.stopping.Load() {
 		return own.Close()
 	}
@@ -255,6 +258,10 @@
 	e.stopping.Store(true)
 	if l := e.listener.Load(); l != nil {
 		_ = l.Close() // a second Close fails
+		select {
+		case <-e.accepted:
+		case <-ctx.Done():
+		}
 	}
 	e.closeCallers(ctx)
 	err := e.server.Shutdown(ctx)
