entry: answer relayed requests that were read while the instance leaves

What callers saw: 502 with an unknown outcome for a request that did not run.

Cause: http.Server.Shutdown of the server for relayed requests drops a request that it has read and not handled yet; the same cause as with callers' own connections.

Each stream carries one request, so the shutdown now waits until the streams have ended.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,7 @@
 	leaving  atomic.Bool
 	endsAt   atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
 	running  atomic.Int64
+	relayed  atomic.Int64 // open streams of relayed requests
 	waiting  waitingRequests
 }
 
@@ -265,9 +266,24 @@
 	}
 	e.closeCallers(ctx)
 	err := e.server.Shutdown(ctx)
+	e.awaitRelayed(ctx)
 	return errors.Join(err, e.relayedServer.Shutdown(ctx))
 }
 
+// awaitRelayed waits until the streams of relayed requests have ended. http.Server.Shutdown would drop a request that was read
+// and not handled yet.
+func (e *Entry) awaitRelayed(ctx context.Context) {
+	tick := time.NewTicker(closeInterval)
+	defer tick.Stop()
+	for e.relayed.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
 const (
 	// closeInterval is the time between two looks at the connections of callers while the instance leaves.
 	closeInterval = 10 * time.Millisecond
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -128,9 +128,24 @@
 // Relay. It returns without waiting for the request; the stream is closed when the
 // request has ended.
 func (e *Entry) ServeRelayed(conn net.Conn) {
+	e.relayed.Add(1)
+	conn = &relayedConn{Conn: conn, ended: func() { e.relayed.Add(-1) }}
 	select {
 	case e.relayListener.conns <- conn:
 	case <-e.relayListener.done:
 		_ = conn.Close()
 	}
 }
+
+// relayedConn is the stream of one relayed request.
+type relayedConn struct {
+	net.Conn
+	ended func()
+	once  sync.Once
+}
+
+// Close implements net.Conn.
+func (c *relayedConn) Close() error {
+	c.once.Do(c.ended)
+	return c.Conn.Close()
+}
