entry: test that a request of HTTP/2 is answered or named in GOAWAY once it was read

The tests of closing connections covered HTTP/1.1 only. TestHTTP2RequestThatWasReadIsAnsweredOrRefused lets the reader of a connection stand still after it has read a HEADERS frame, while the connection is chosen: idle timeout, idle timeout of the tables, replaced, shutdown.

--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -121,3 +121,62 @@
 		}
 	}
 }
+
+// send sends a request whose frame header arrives before its contents, which are not compressed.
+func (c *framesCaller) send(path string) {
+	c.t.Helper()
+	c.stream += 2
+	block := append([]byte{0x82, 0x86, 0x41, 1, 'a', 0x04, byte(len(path))}, path...) // GET, http, :authority, :path
+	header := []byte{0, 0, byte(len(block)), byte(http2.FrameHeaders), byte(http2.FlagHeadersEndHeaders | http2.FlagHeadersEndStream), 0, 0, 0, byte(c.stream)}
+	for _, part := range [][]byte{header, block} {
+		if _, err := c.Conn.Write(part); err != nil {
+			c.t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against closing a connection of HTTP/2 from which a request has been read that no handler has seen yet.
+func TestHTTP2RequestThatWasReadIsAnsweredOrRefused(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		limits    func(*settings.Limits)
+		configure func(*Entry)
+		closes    func(t *testing.T, e *Entry, address string)
+		refused   bool // GOAWAY names the request as not run
+	}{
+		{name: "idle timeout", limits: func(l *settings.Limits) { l.IdleTimeout = table.Duration(300 * time.Millisecond) },
+			closes: func(*testing.T, *Entry, string) { time.Sleep(600 * time.Millisecond) }, refused: true},
+		{name: "idle timeout of the tables", limits: func(*settings.Limits) {}, configure: func(e *Entry) {
+			tables := *e.snapshots.Snapshot()
+			tables.Limits.IdleTimeout = table.Duration(300 * time.Millisecond)
+			e.snapshots.(*fixedTables).current.Store(&tables)
+		}, closes: func(*testing.T, *Entry, string) { time.Sleep(600 * time.Millisecond) }},
+		{name: "replaced", limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
+		{name: "shutdown", limits: func(*settings.Limits) {}, closes: shutDown, refused: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e, l := stallingEntry(t, func(s *settings.Settings) { c.limits(&s.Limits) }, func(e *Entry, _ *stallingListener) {
+				if c.configure != nil {
+					c.configure(e)
+				}
+			})
+			address := l.Addr().String()
+			caller := dialFrames(t, address, false)
+			caller.get("/")
+			is.True(caller.served())
+			caller.send("/stalled")
+			<-l.stalled
+			c.closes(t, e, address)
+			close(l.resume)
+			if c.refused {
+				last, announced := caller.lastProcessed()
+				is.True(announced)
+				is.Equal(last, caller.stream-2)
+				return
+			}
+			is.True(caller.served())
+		})
+	}
+}
