callers: count no header section on encrypted connections of HTTP/2

What callers and operators saw: an idle connection of HTTP/2 over TLS stayed open beyond the idle timeout of the tables once the caller had sent any frame after its last request, such as PING, and held memory of header sections.

Cause: HTTP/2 was recognized by its preface only, which is not visible over TLS. The frames counted as a header section that arrives, which has its own timeout on HTTP/1.1.

Change: SetHTTP2, which is called with the negotiated protocol, also ends the counting of header sections.

--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -203,12 +203,6 @@
 	g.http2++
 }
 
-func (m *Member) isHTTP2() bool {
-	m.guard.mu.Lock()
-	defer m.guard.mu.Unlock()
-	return m.http2
-}
-
 // Leave records that the connection is closed.
 func (m *Member) Leave() {
 	m.guard.mu.Lock()
--- a/internal/callers/http2.go
+++ b/internal/callers/http2.go
@@ -7,15 +7,18 @@
 	return c.phase == PhaseNew
 }
 
-// HasHTTP2Preface reports whether the connection has started as one of HTTP/2 in plain text.
-func (c *Conn) HasHTTP2Preface() bool {
+// IsHTTP2 reports whether the connection is one of HTTP/2: it has started with the preface in plain text, or SetHTTP2 was
+// called.
+func (c *Conn) IsHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.prefaced == len(http2Preface)
 }
 
-// SetHTTP2 records that the connection is one of HTTP/2. See Guard.CloseQuiet.
-func (c *Conn) SetHTTP2() { c.member.setHTTP2() }
-
-// IsHTTP2 reports whether SetHTTP2 was called.
-func (c *Conn) IsHTTP2() bool { return c.member.isHTTP2() }
+// SetHTTP2 records that the connection is one of HTTP/2, which has no header section of its own. See also Guard.CloseQuiet.
+func (c *Conn) SetHTTP2() {
+	c.mu.Lock()
+	c.prefaced = len(http2Preface)
+	c.mu.Unlock()
+	c.member.setHTTP2()
+}
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -55,7 +55,7 @@
 	if t, ok := c.(*tls.Conn); ok {
 		return t.ConnectionState().NegotiatedProtocol == http2Protocol
 	}
-	return conn.HasHTTP2Preface()
+	return conn.IsHTTP2()
 }
 
 // http2Protocol is the ALPN name of HTTP/2 (RFC 9113, section 3.1).
--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -180,3 +182,36 @@
 		})
 	}
 }
+
+// Guards against an idle connection of HTTP/2 that outlasts the operators' limit because the caller has sent frames other than
+// requests.
+func TestIdleHTTP2ConnectionEndsDespiteOtherFrames(t *testing.T) {
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	files := tlstest.Files(t, "entry")
+	files.CA = "" // with a CA, callers would need certificates
+	for name, encrypted := range map[string]bool{"plain": false, "tls": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, testRoute(), []string{upstream}, withSettings(func(s *settings.Settings) {
+				if encrypted {
+					s.Callers.Plaintext, s.Callers.TLS = false, &files
+				}
+			}))
+			tables := *h.tables.Snapshot()
+			tables.Limits.IdleTimeout = table.Duration(300 * time.Millisecond)
+			h.tables.current.Store(&tables)
+			caller := dialFrames(t, h.addr, encrypted)
+			caller.get("/")
+			is.True(caller.served())
+			is.NoErr(caller.WritePing(false, [8]byte{1}))
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(h.entry.CallerUse().MemoryBytes, int64(0)) // frames are no header section
+			is.NoErr(caller.SetReadDeadline(time.Now().Add(3 * time.Second)))
+			_, err := caller.ReadFrame()
+			for err == nil {
+				_, err = caller.ReadFrame()
+			}
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+		})
+	}
+}
