peer: keep a session while a byte stream is opened on it

What callers saw: by reading, a request that was relayed over a connection that is idle or gives its place to another one was refused with 421, or ended with 502 if the other side closed the connection.

Cause: a byte stream counted as open only once both sides had agreed on it. Until then its session could be closed as unused.

Evidence: TestSessionStaysWhileAStreamIsOpened lets the other side accept late, with an idle timeout of 50 ms; it fails in 3 of 3 runs before this change. With it 3 runs of ./pkg/peer and ./internal/daemon with the race detector pass.

Change: both sides count a stream from its first frame on.

--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -145,6 +145,7 @@
 }
 
 func (s *session) serveStream(stream net.Conn, service string) {
+	stream = s.countStream(stream) // before the other side may use it
 	h := s.t.streamHandler(service)
 	opened := &peerpb.Opened{}
 	if h == nil {
@@ -155,16 +156,17 @@
 		stream.Close()
 		return
 	}
-	h(s.peer, s.countStream(stream))
+	h(s.peer, stream)
 }
 
 // openStream opens a byte stream and waits until the other side has accepted it.
 func (s *session) openStream(ctx context.Context, service string) (net.Conn, error) {
 	s.touch()
-	stream, err := s.mux.Open()
+	open, err := s.mux.Open()
 	if err != nil {
 		return nil, unavailable(err)
 	}
+	stream := s.countStream(open)
 	// Closing a yamux stream does not unblock its own reader; a deadline in the past does.
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(expiredDeadline) })
 	defer stop()
@@ -185,7 +187,7 @@
 		return nil, unavailable(err)
 	}
 	_ = stream.SetDeadline(time.Time{})
-	return s.countStream(stream), nil
+	return stream, nil
 }
 
 // expiredDeadline is a deadline in the past; setting it unblocks pending reads and writes.
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -245,3 +245,19 @@
 	is.NoErr(ch.enqueue(outgoing{}))
 	is.Equal(fault.KindOf(ch.enqueue(outgoing{})), fault.Exhausted)
 }
+
+// Guards against closing a connection as unused while a byte stream is being opened on it.
+func TestSessionStaysWhileAStreamIsOpened(t *testing.T) {
+	is := is.New(t)
+	addresses := map[InstanceID]string{}
+	a := startTransport(t, addresses, "a/1", func(s *Settings) { s.IdleTimeout = table.Duration(50 * time.Millisecond) })
+	b := startTransport(t, addresses, "b/1", nil)
+	b.HandleStream("copy", func(_ InstanceID, c net.Conn) { io.Copy(c, c); c.Close() })
+	_, err := echo(a, "b/1", "echo")
+	is.NoErr(err)
+	b.mu.Lock() // the stream is accepted late
+	time.AfterFunc(2*reapInterval+500*time.Millisecond, b.mu.Unlock)
+	c, err := a.Open(t.Context(), "b/1", "copy")
+	is.NoErr(err)
+	is.NoErr(c.Close())
+}
