--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -99,8 +99,7 @@
 	charged   int64
 	closed    bool
 
-	multiplexed bool      // HTTP/2
-	settlesAt   time.Time // until when the last response may not have been written
+	settlesAt time.Time // until when the last response may not have been written
 
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
@@ -329,7 +328,7 @@
 	c.phase = p
 	if p == PhaseIdle {
 		c.delivered = !c.waiting // net/http may have read the next request together with the last one
-		if c.multiplexed {
+		if c.prefaced == len(http2Preface) {
 			c.settlesAt = time.Now().Add(settleTime)
 		}
 	}
--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -121,3 +123,95 @@
 		}
 	}
 }
+
+// send sends a request whose frame header arrives before its contents, which are not compressed.
+func (c *framesCaller) send(path string) {
+	c.t.Helper()
+	c.stream += 2
+	block := append([]byte{0x82, 0x86, 0x41, 1, 'a', 0x04, byte(len(path))}, path...) // GET, http, :authority, :path
+	header := []byte{0, 0, byte(len(block)), byte(http2.FrameHeaders), byte(http2.FlagHeadersEndHeaders | http2.FlagHeadersEndStream), 0, 0, 0, byte(c.stream)}
+	for _, part := range [][]byte{header, block} {
+		if _, err := c.Conn.Write(part); err != nil {
+			c.t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against closing a connection of HTTP/2 from which a request has been read that no handler has seen yet.
+func TestHTTP2RequestThatWasReadIsAnsweredOrRefused(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		limits    func(*settings.Limits)
+		configure func(*Entry)
+		closes    func(t *testing.T, e *Entry, address string)
+		refused   bool // GOAWAY names the request as not run
+	}{
+		{name: "idle timeout", limits: func(l *settings.Limits) { l.IdleTimeout = table.Duration(300 * time.Millisecond) },
+			closes: func(*testing.T, *Entry, string) { time.Sleep(600 * time.Millisecond) }, refused: true},
+		{name: "idle timeout of the tables", limits: func(*settings.Limits) {}, configure: func(e *Entry) {
+			tables := *e.snapshots.Snapshot()
+			tables.Limits.IdleTimeout = table.Duration(300 * time.Millisecond)
+			e.snapshots.(*fixedTables).current.Store(&tables)
+		}, closes: func(*testing.T, *Entry, string) { time.Sleep(600 * time.Millisecond) }},
+		{name: "replaced", limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
+		{name: "shutdown", limits: func(*settings.Limits) {}, closes: shutDown, refused: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e, l := stallingEntry(t, func(s *settings.Settings) { c.limits(&s.Limits) }, func(e *Entry, _ *stallingListener) {
+				if c.configure != nil {
+					c.configure(e)
+				}
+			})
+			address := l.Addr().String()
+			caller := dialFrames(t, address, false)
+			caller.get("/")
+			is.True(caller.served())
+			caller.send("/stalled")
+			<-l.stalled
+			c.closes(t, e, address)
+			close(l.resume)
+			if c.refused {
+				last, announced := caller.lastProcessed()
+				is.True(announced)
+				is.Equal(last, caller.stream-2)
+				return
+			}
+			is.True(caller.served())
+		})
+	}
+}
+
+// Guards against an idle connection of HTTP/2 that outlasts the operators' limit because the caller has sent frames other than
+// requests.
+func TestIdleHTTP2ConnectionEndsDespiteOtherFrames(t *testing.T) {
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	files := tlstest.Files(t, "entry")
+	files.CA = "" // with a CA, callers would need certificates
+	for name, encrypted := range map[string]bool{"plain": false, "tls": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, testRoute(), []string{upstream}, withSettings(func(s *settings.Settings) {
+				if encrypted {
+					s.Callers.Plaintext, s.Callers.TLS = false, &files
+				}
+			}))
+			tables := *h.tables.Snapshot()
+			tables.Limits.IdleTimeout = table.Duration(300 * time.Millisecond)
+			h.tables.current.Store(&tables)
+			caller := dialFrames(t, h.addr, encrypted)
+			caller.get("/")
+			is.True(caller.served())
+			is.NoErr(caller.WritePing(false, [8]byte{1}))
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(h.entry.CallerUse().MemoryBytes, int64(0)) // frames are no header section
+			is.NoErr(caller.SetReadDeadline(time.Now().Add(3 * time.Second)))
+			_, err := caller.ReadFrame()
+			for err == nil {
+				_, err = caller.ReadFrame()
+			}
+			is.True(!errors.Is(err, os.ErrDeadlineExceeded))
+		})
+	}
+}
