callers: send no 400 for a header section whose connection is being closed

What callers saw: a caller that had sent a part of its header section got "400 Bad Request" for a proper request, which clients do not retry, where the connection should just have been closed.

Cause: after a read that fails, bufio returns the part of the line that was read as a whole line. net/http finds it malformed and sends 400. The reads of a connection fail from the time at which it gives its place to a new one, or finds no memory for its section; the socket is closed a little later. The code assumed that net/http responds nothing after an error of this kind.

TestReplacedHeaderSectionGetsNoResponse failed in 3 of 3 runs before.

Change: writes fail on a connection that will be closed and was not idle. An idle connection has no unfinished section, and one of TLS may still announce its end.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -87,17 +87,18 @@
 	mu sync.Mutex
 	// delivered is set from when net/http gets bytes until it asks for more. If no request is being handled, these bytes
 	// may end a header section.
-	delivered bool
-	waiting   bool   // net/http waits for bytes
-	retired   bool   // will be closed; nothing is read any more
-	reason    string // of the close
-	phase     Phase
-	inSection bool
-	prefaced  int // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
-	size      int64
-	lines     int64
-	charged   int64
-	closed    bool
+	delivered  bool
+	waiting    bool   // net/http waits for bytes
+	retired    bool   // will be closed; nothing is read any more
+	reason     string // of the close
+	overBudget bool   // there was no memory for the header section, so the connection will be closed
+	phase      Phase
+	inSection  bool
+	prefaced   int // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
+	size       int64
+	lines      int64
+	charged    int64
+	closed     bool
 
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
@@ -111,8 +112,9 @@
 
 var _ net.Conn = (*Conn)(nil)
 
-// errClosed is the error of a read on a connection that is closed because of its header section. net/http sends no
-// response of its own after an error of this kind.
+// errClosed is the error of a read on a connection that is closed because of its header section, or that was retired.
+// net/http sends no response of its own after an error of this kind, unless it came within a line: the part of the line
+// that was read is then taken for all of it. See Write.
 var errClosed = &net.OpError{Op: "read", Err: net.ErrClosed}
 
 // http2Preface starts a connection of HTTP/2 (RFC 9113, section 3.4).
@@ -137,6 +139,23 @@
 	return n, err
 }
 
+// Write implements net.Conn. It fails on a connection that will be closed before it has carried a request, where net/http
+// would refuse an unfinished header section as malformed.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// isClosing does not depend on the phase: net/http reports an unfinished section that fails as active.
+func (c *Conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// A connection that was idle has no unfinished section, and TLS announces its end.
+	return c.closed || c.overBudget || c.retired && c.reason != ReasonIdle
+}
+
 // receive reads from the socket under the mutex, so that retire is either before the read, which then fails, or knows of
 // its bytes.
 func (c *Conn) receive(p []byte) (n int, err error) {
@@ -284,6 +303,9 @@
 func (c *Conn) reserve(cost int64) bool {
 	if !c.sections.admit(c, cost) {
 		c.sections.finish(c)
+		c.mu.Lock()
+		c.overBudget = true
+		c.mu.Unlock()
 		return false
 	}
 	c.mu.Lock()
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
@@ -151,3 +152,39 @@
 		})
 	}
 }
+
+// Guards against a 400 for a header section whose connection gives its place to a new one before the section has ended.
+func TestReplacedHeaderSectionGetsNoResponse(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	chosen, resume := make(chan struct{}), make(chan struct{})
+	s, _ := testSections(1 << 20)
+	server := &http.Server{Handler: http.NotFoundHandler(), ConnState: func(c net.Conn, state http.ConnState) {
+		if state == http.StateActive {
+			c.(*Conn).Enter(PhaseActive)
+		}
+	}}
+	defer server.Close()
+	go func() {
+		_ = server.Serve(&Listener{Listener: l, Sections: s, Guard: NewGuard(1, func(string) { close(chosen); <-resume })})
+	}()
+	first, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer first.Close()
+	_, err = io.WriteString(first, "GET /")
+	is.NoErr(err)
+	for s.Budget.Used() == 0 { // until the server has read it
+		time.Sleep(time.Millisecond)
+	}
+	second, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer second.Close()
+	<-chosen
+	_, err = io.WriteString(first, "x HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	_ = first.SetReadDeadline(time.Now().Add(time.Second))
+	n, _ := first.Read(make([]byte, 100)) // fails, since the connection is closed
+	close(resume)
+	is.Equal(n, 0)
+}
