entry: test connection reuse apart from connections whose reader is late

Cause: a kept connection is used only when its reader waits for input, which shows that it is empty. A reader that has not run for readerWakeTime, 5 ms, makes the pool close the connection and open another. On a loaded machine this gave TestConnectionOfLateResponseIsNotReused a third connection, and TestConnectionShare an upstream that accepted the new connection before its own reader saw the end of the old one.

Change: the dialer holds the wait, so that tests can set it. The product behaves as before.

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -77,7 +77,7 @@
 // taken for the response to the next request: net/http notices them only when its reader, which has its own
 // goroutine, has looked at the idle connection.
 func (c *upstreamConn) isSilent() bool {
-	for end := time.Now().Add(readerWakeTime); !c.counted.reading.Load(); runtime.Gosched() {
+	for end := time.Now().Add(c.pool.dialer.readerWake); !c.counted.reading.Load(); runtime.Gosched() {
 		if c.client.Err() != nil || time.Now().After(end) {
 			return false
 		}
@@ -109,12 +109,13 @@
 // connections: the transport's own pool retries requests by itself and does not tell
 // whether any byte was sent.
 type dialer struct {
-	transport *http.Transport
+	transport  *http.Transport
+	readerWake time.Duration // readerWakeTime outside tests
 }
 
 func newDialer(maxHeader int64) *dialer {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &dialer{&http.Transport{
+	return &dialer{readerWake: readerWakeTime, transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := d.DialContext(ctx, network, address)
 			if err != nil {
