follow: ask a reader again soon that has not read the store yet

Cause: an instance that takes a reader's place holds the data of a stale list until its first watch is answered. Others that find its key before that and ask it got stale data, took the reader for lost, avoided it for failedReaderCooldown, 3 s, and watched the store themselves meanwhile.

Change: a reader's answer whose position is before the reader's own key shows that it has not read the store since it took its place. Such a reader is avoided for 0.3 s only and logged as "reader not ready" at verbosity 1. A reader that has read the store once, and then lost it, is avoided for 3 s as before. The protocol is unchanged, so releases may be mixed.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -58,6 +59,8 @@
 	seedTimeout = 1300 * time.Millisecond
 	// failedReaderCooldown is how long a reader is not called after it failed.
 	failedReaderCooldown = 3 * time.Second
+	// startingReaderCooldown is how long a reader is not called after it answered that it has not read the store yet.
+	startingReaderCooldown = 300 * time.Millisecond
 	// storeRetryMin is the mean time between the starts of a first failed call to the store and of the next one.
 	// The time doubles with each failure, but not for readers; each interval is jittered by half of its value.
 	storeRetryMin = 300 * time.Millisecond
@@ -269,6 +272,11 @@
 		}
 		f.lookup.add(string(reader.ID), start, err)
 		search = true
+		if errors.Is(err, errReaderStarting) {
+			f.avoidUntil[reader.ID] = time.Now().Add(startingReaderCooldown)
+			f.log.V(1).Info("reader not ready", "reader", reader.ID, "error", err.Error())
+			continue
+		}
 		f.avoidUntil[reader.ID] = time.Now().Add(failedReaderCooldown)
 		if ctx.Err() == nil && !f.isolated {
 			f.log.Info("reader lost", "reader", reader.ID, "error", err.Error())
@@ -277,6 +285,9 @@
 	return false
 }
 
+// errReaderStarting means that a reader has not read the store since it took its place: its position is before its own key.
+var errReaderStarting = errors.New("the reader has not read the store since it took its place")
+
 // syncFromReader applies the changes of one reader. It fails when the reader's data is stale.
 func (f *Follower) syncFromReader(ctx context.Context, reader Reader, wait, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -302,6 +313,9 @@
 	if r.age <= maxFreshAge || historyLost || len(r.changes) > 0 {
 		f.lastReader.Store(&reader)
 	}
+	if r.age > maxFreshAge && r.position.Before(reader.since) {
+		return fault.Wrap(fault.Unavailable, errReaderStarting, "the reader has no fresh data", "ask it again soon")
+	}
 	if r.age > maxFreshAge {
 		return fault.New(fault.Unavailable, "the reader's data is stale, with an age of "+r.age.String(), "ask another one, or the store")
 	}
--- a/internal/follow/readers.go
+++ b/internal/follow/readers.go
@@ -51,8 +51,8 @@
 	ID      peer.InstanceID `json:"id"`
 	Address string          `json:"address"`
 	Region  string          `json:"-"`
-	// revision is that of the reader's key.
-	revision uint64
+	// since is the position of the reader's key.
+	since store.Position
 }
 
 // Self describes this instance as a reader.
@@ -73,7 +73,7 @@
 	if r.ID == "" || r.Address == "" {
 		return nil, fault.New(fault.Invalid, "a reader has no ID or address", "wait until its lease expires")
 	}
-	r.revision = e.Revision
+	r.since = e.Position()
 	r.Region, _, _ = strings.Cut(strings.TrimPrefix(e.Key, readersPrefix), "/")
 	return &r, nil
 }
@@ -164,7 +164,7 @@
 func (f *Follower) ownKeyRevision(key string) uint64 {
 	if known := f.readers.Load(); known != nil {
 		if r := (*known)[key]; r.ID == f.self.ID {
-			return r.revision
+			return r.since.Revision
 		}
 	}
 	return 0
@@ -239,7 +239,7 @@
 	name, _, _ := strings.Cut(string(f.self.ID), "/")
 	for key, r := range *known {
 		if holder, _, _ := strings.Cut(string(r.ID), "/"); holder == name && r.Region == f.self.Region {
-			return key, r.revision
+			return key, r.since.Revision
 		}
 	}
 	return "", 0
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -28,6 +28,7 @@
 	refused, unresponsive, missesChanges, leaseLost, listFails, late atomic.Bool
 	writes                                                           atomic.Int64
 	frozen                                                           atomic.Pointer[time.Time] // the instance stands still until then
+	watchDelay                                                       time.Duration             // until a watch begins
 }
 
 // thaw waits until the instance runs.
@@ -84,6 +85,7 @@
 	if err := c.connectionError(ctx); err != nil {
 		return nil, store.Position{}, err
 	}
+	pause.For(ctx, c.watchDelay)
 	if c.missesChanges.Load() {
 		pause.For(ctx, wait)
 		return nil, after, ctx.Err()
@@ -184,6 +186,7 @@
 	ids         []peer.InstanceID
 	stops       []context.CancelFunc
 	answers     []*lateAnswers
+	watchDelay  time.Duration // of instances that start
 }
 
 func newFleet(t *testing.T, size int) *fleet { return newFleetIn(t, size, "north", "south") }
@@ -211,7 +214,7 @@
 func (fl *fleet) start(t *testing.T, i int, incarnation string) {
 	id := peer.InstanceID(fmt.Sprintf("e%d/%s", i, incarnation))
 	node := fl.net.Join(id, fmt.Sprintf("10.0.0.%d:1", i))
-	connection := &storeConnection{fakeLog: fl.store}
+	connection := &storeConnection{fakeLog: fl.store, watchDelay: fl.watchDelay}
 	answers := &lateAnswers{Transport: node}
 	self := Self{Reader: Reader{ID: id, Address: node.Address(), Region: fl.regions[i%len(fl.regions)]}}
 	f := New(Options{Source: connection, Codec: textCodec{}, Ephemeral: connection, Peers: answers, Self: self, Writer: connection, Regions: len(fl.regions)}, logr.Discard())
