entry: end the wait after a run with 502 when the process is about to end

A request that waited for quarantine after an attempt that may have run was refused with 503 when its wait ended with the process. A protocol without an outcome header tells by the status alone that a request did not run.

--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -100,6 +100,14 @@
 	return x.ending
 }
 
+// refuseEnding returns the refusal of a request whose wait has ended because the process is about to end.
+func (x *exchange) refuseEnding() *Refusal {
+	if x.maybeRan.Load() { // a 503 would tell callers that know only the status that it did not run
+		return refuseUpstream()
+	}
+	return refuseLeaving()
+}
+
 // startSending records that the attempt sends the request from now on, or reports false if its waits have ended.
 func (a *attempt) startSending() bool {
 	a.x.mu.Lock()
--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -93,6 +93,38 @@
 	}
 }
 
+// lostThenEndless admits the first attempt and waits until the context of each later wait ends.
+type lostThenEndless struct {
+	noQuarantine
+	admitted bool
+}
+
+func (q *lostThenEndless) Admit(ctx context.Context, _ *table.Route, _ Fingerprint) (Admission, bool) {
+	if !q.admitted {
+		q.admitted = true
+		return Admission{Done: func() {}}, true
+	}
+	<-ctx.Done()
+	return Admission{}, false
+}
+
+// Guards against a refusal by which a request that may have run looks as if it had not.
+func TestWaitAfterARunEndsWithAnUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	u := newRawUpstream(t, func(_ int64, c net.Conn) { _, _ = readRequest(c) })
+	route := testRoute()
+	route.Retry.MaxAttempts = 3
+	h := newHarness(t, route, []string{u.addr, u.addr}, withPorts(func(p *Ports) { p.Quarantine = &lostThenEndless{} }))
+	replies := make(chan reply, 1)
+	go func() { replies <- h.do("GET", "/", nil) }()
+	waitRunning(h, 1)
+	h.entry.SetEnd(time.Now().Add(2 * endMargin))
+	r := <-replies
+	is.NoErr(r.err)
+	is.Equal(r.status, 502)
+	is.Equal(r.outcome(), string(Unknown))
+}
+
 // Guards against breaking off a request at which an upstream is at work, and that may end in time.
 func TestRunningRequestIsNotBrokenOffBeforeTheProcessEnds(t *testing.T) {
 	is := is.New(t)
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -52,7 +52,7 @@
 		return refuseDeadline()
 	}
 	if x.isEnding() {
-		return refuseLeaving()
+		return x.refuseEnding()
 	}
 	return refuseQuarantined(admission.RetryAfter, x.maybeRan.Load() && x.e.proto.Outcome == "")
 }
@@ -138,7 +138,7 @@
 	case failDeadline:
 		return nil, refuseDeadline()
 	case failLeaving:
-		return nil, refuseLeaving()
+		return nil, x.refuseEnding()
 	case failBody:
 		return nil, x.bodyRefusal(x.body.failed())
 	}
