entry: refuse a slow body with 408 also if the attempt notices first

What callers saw: a request whose body came too slowly was at times refused with another status than 408.

Cause: by reading, net/http cancels the context of the request when the read of its body fails. The attempt could end for that before the failure of the body was recorded, and was then taken for one whose caller had left.

Change: an attempt that ends while the instance has interrupted the body ends because of the body.

--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -18,6 +18,8 @@
 	case errors.Is(cause, errLeaving):
 		a.fail = failLeaving
 	case errors.Is(cause, errPermitRevoked): // the caller is still waiting
+	case cause != nil && a.x.body.interrupted(): // before the read that was interrupted has returned
+		a.fail = failBody
 	case cause != nil:
 		a.fail = failCancelled
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -184,6 +184,9 @@
 	return nil
 }
 
+// interrupted reports whether reading the body was ended by this instance.
+func (b *requestBody) interrupted() bool { return b != nil && b.progress.interrupted.Load() }
+
 // replayable reports whether another attempt could send the complete body now. That may change until rewind is called.
 func (b *requestBody) replayable() bool {
 	return b == nil || (!b.consumed.Load() && b.failed() == nil)
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -93,7 +93,7 @@
 		return refuseDeadline()
 	case errors.Is(err, errBodyTooLarge):
 		return refuseBody(x.bodyLimit())
-	case errors.Is(err, errBodySlow):
+	case errors.Is(err, errBodySlow), err == nil && x.body.interrupted():
 		return refuseSlowBody()
 	}
 	return refuseIncompleteBody()
