sampled: do not refuse a request because of one full upstream

Cause: an instance whose probe budget allows one probe for a request, and whose probe finds that upstream without headroom, excluded all upstreams whose load it did not know for the whole choice. The request waited maxWait, was judged by the same reading again and refused, although the pool had room. Of 7 refusals logged by TestAllInstancesKeepTheRequestLimitOfAnUpstream, all had one round of probes, one answer with 3 of 4 slots in use and a wait of 82 to 83 ms, on a target of 400 ms. The log of one: three instances had sent to that upstream within the same millisecond.

Change: once the request has waited maxWait, such a reading excludes no upstream whose load is not known, unless the pool is overloaded or most of the latest readings were full. Of two upstreams with the same cost, the one with headroom is chosen; the order decided before. The last readings and the decision use one time.

--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -155,11 +155,14 @@
 	sawFull  bool // a probe for this request found an upstream without headroom
 }
 
-// best returns the usable candidate with the lowest cost, or nil.
+// best returns the usable candidate with the lowest cost, or nil. Of two with the same cost, it is the one with headroom.
 func best(list []*candidate) *candidate {
 	var b *candidate
 	for _, c := range list {
-		if c.probed && !c.excluded && (b == nil || c.cost < b.cost) {
+		if !c.probed || c.excluded {
+			continue
+		}
+		if b == nil || c.cost < b.cost || c.cost == b.cost && hasHeadroom(c.reading) && !hasHeadroom(b.reading) {
 			b = c
 		}
 	}
@@ -270,6 +273,15 @@
 // overloaded reports whether the pressure of the pool is above overloadPressure.
 func (ch *chooser) overloaded() bool { return ch.pressure > overloadPressure }
 
+// avoidsUnread reports whether the request is sent to no upstream whose load is not known. When it has waited for headroom
+// as long as it may, a single upstream without headroom is no reason to refuse it while the pool as a whole has room.
+func (ch *chooser) avoidsUnread(now time.Time) bool {
+	if ch.pool.mostlyFull() {
+		return true
+	}
+	return ch.sawFull && (ch.overloaded() || now.Sub(ch.start) < ch.maxWait())
+}
+
 // maxWait returns the longest wait for an upstream with headroom; it falls quadratically with rising pressure.
 // While the pool is overloaded, a flooding workspace does not wait, since it would take the place of others.
 func (ch *chooser) maxWait() time.Duration {
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -208,15 +208,16 @@
 				return accept, c
 			}
 		}
+		now := time.Now() // the end of the wait must be the same for the last readings and the decision
 		if allowed < to { // the budget is used up: the rest is judged by its last readings
 			to = len(list)
 			for _, c := range list[allowed:] {
-				p.applyLastReading(ch, c, time.Now())
+				p.applyLastReading(ch, c, now)
 			}
 		}
 		from = to
 		b := best(list)
-		if v := ch.decide(time.Now(), b, from < len(list)); v != probeMore {
+		if v := ch.decide(now, b, from < len(list)); v != probeMore {
 			return v, b
 		}
 	}
@@ -289,7 +290,7 @@
 	}
 	p.judge(ch, c, Reading{At: now, Healthy: true})
 	c.mayBeCold = !p.readings.isWarm(c.upstream.ID, now)
-	c.excluded = ch.sawFull || ch.pool.mostlyFull() || c.mayBeCold && p.sentWhileCold(c.upstream.ID, now)
+	c.excluded = ch.avoidsUnread(now) || c.mayBeCold && p.sentWhileCold(c.upstream.ID, now)
 }
 
 // sentWhileCold reports whether this instance has just sent a request to an upstream that was cold.
--- a/pkg/placement/sampled/probebudget_test.go
+++ b/pkg/placement/sampled/probebudget_test.go
@@ -1,12 +1,18 @@
 package sampled
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 const testProbesPerSecond = 60
@@ -80,3 +86,58 @@
 		is.True(res.inTarget >= res.sent*9/10)
 	})
 }
+
+// busyProber answers each probe with the same load.
+type busyProber struct {
+	running int
+	probes  atomic.Int64
+}
+
+// Probe implements Prober.
+func (b *busyProber) Probe(_ context.Context, _ *table.Pool, u table.Upstream) (Reading, error) {
+	b.probes.Add(1)
+	return Reading{Upstream: u.ID, Healthy: true, Loaded: true, Running: b.running, Slots: 4, Slowdown: 1}, nil
+}
+
+// Guards against a request that is refused because the only probe that its instance had a right to found an upstream
+// full, although most upstreams of the pool had room lately, and against one that is sent to a pool that is mostly full.
+func TestOneFullReadingDoesNotRefuseARequest(t *testing.T) {
+	const target = 400 * time.Millisecond
+	for _, c := range []struct {
+		name                string
+		pressure, fullShare float64
+		refused             bool
+	}{
+		{"room lately", 0, 0.1, false},
+		{"mostly full", 0, 0.8, true},
+		{"overloaded", 0.5, 0.1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				pool := &table.Pool{Name: "p", Slots: 4}
+				for n := range 3 {
+					pool.Upstreams = append(pool.Upstreams, table.Upstream{ID: fmt.Sprint("u", n), Region: "north", FailureDomain: "n1"})
+				}
+				prober := &busyProber{running: 3}
+				budget := NewProbeBudget(0.1, func() int { return 1 }) // one probe when it starts
+				p := New(Location{Instance: "e1", Region: "north", FailureDomain: "n1"}, prober, budget, logr.Discard())
+				for _, u := range pool.Upstreams {
+					p.readings.recordWarm(u.ID, time.Now())
+				}
+				recent := p.poolPressure("p")
+				recent.share, recent.fullShare = c.pressure, c.fullShare
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				begin := time.Now()
+				chosen, err := p.Choose(ctx, Request{ID: "r", Pool: pool, Route: &table.Route{Name: "all", Target: table.Duration(target)}, Start: begin})
+				is.Equal(prober.probes.Load(), int64(1))
+				is.Equal(fault.Is(err, fault.Exhausted), c.refused)
+				is.True(time.Since(begin) < target/2)
+				if chosen != nil {
+					chosen.Done(Succeeded, 0)
+				}
+			})
+		})
+	}
+}
