callers: linger after a response that did not wait for the whole request

What callers saw: a refusal, or an early error response of an upstream, was followed by a reset of the connection. At a distance the reset can destroy the response before the caller has read it (RFC 9112, section 9.6).

Cause: the connection was closed with unread bytes, or while the caller was still sending. If the request asks for a close and states a length, net/http reads nothing of the rest of the body. It waits before the close only after reading 256 KiB, and then reads nothing meanwhile. What it refuses itself is closed at once. The read deadline after a refusal was set only if the body had been opened: a caller refused earlier that then paused held its connection without end.

Change: callers.Conn half-closes a connection of HTTP/1 when net/http closes it after a complete response that did not wait for the whole request, and discards input until the caller closes its side, for at most 5 s, 1 s without bytes and 16 MiB. It does so in a goroutine of its own with a buffer of 4 KiB, so that neither the response nor http.Server.Close waits for it; the memory of the request is returned before. The connection keeps its place in the guard, is the first to give it to a new one, and is waited for by Entry.Shutdown within its context. Reads of net/http fail after such a response if the connection ends with it. This replaces the sleep after the refusal of a header section and the read deadline after a refusal, which stays for relayed streams. HTTP/2, aborted responses, connections that the caller has ended, idle ones and those closed for a limit do not linger.

TestRefusalDuringAnUploadClosesTheConnection keeps its bound of 2 s, whose constant is gone, and now also demands that the socket is closed within it, since the end of the stream is sent earlier.

Tried and dropped: to linger whenever bytes are unread at the close.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -93,11 +93,20 @@
 	reason    string // of the close
 	phase     Phase
 	inSection bool
-	prefaced  int // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
+	prefaced  int  // bytes of http2Preface that were read from the start of the connection; -1 if it starts otherwise
+	http2     bool // the connection is one of HTTP/2
 	size      int64
 	lines     int64
 	charged   int64
-	closed    bool
+	closed    bool // Close was called
+	ended     bool // the socket is closed
+
+	// The state of the latest request of HTTP/1 and its response, see lingers.
+	responding  bool // a handler has not completed the response
+	unread      bool // the request may not have been read to its end
+	written     bool // bytes of a response were sent
+	broken      bool // the caller has closed its side, or the connection has failed
+	inputClosed bool // net/http gets no more bytes
 
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
@@ -140,44 +149,54 @@
 // receive reads from the socket under the mutex, so that retire is either before the read, which then fails, or knows of
 // its bytes.
 func (c *Conn) receive(p []byte) (n int, err error) {
-	c.startRead()
+	if !c.startRead() {
+		return 0, errClosed
+	}
 	if c.raw == nil {
 		n, err = c.Conn.Read(p)
-		c.endRead(n)
+		c.endRead(n, err)
 		return n, err
 	}
 	c.dst = p
 	if waitErr := c.raw.Read(c.readNow); waitErr != nil {
-		c.endRead(0)
+		c.endRead(0, nil)
 		return 0, readError(waitErr)
 	}
 	return c.readN, c.readErr
 }
 
-// startRead records that net/http asks for more bytes.
-func (c *Conn) startRead() {
+// startRead records that net/http asks for more bytes, and reports false if it gets none.
+func (c *Conn) startRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.inputClosed {
+		return false
+	}
 	c.waiting, c.delivered = true, false
+	return true
 }
 
-// endRead records that net/http gets n bytes.
-func (c *Conn) endRead(n int) {
+// endRead records that net/http gets n bytes or an error of the connection.
+func (c *Conn) endRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.delivered = false, n > 0
+	c.broken = c.broken || (err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 }
 
 // readArrived reads what has arrived, and reports false if that is nothing yet. It is called with the socket.
 func (c *Conn) readArrived(fd uintptr) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired {
+	if c.retired || c.inputClosed {
 		c.readN, c.readErr = 0, errClosed
 	} else if c.readN, c.readErr = socket.Read(fd, c.dst); errors.Is(c.readErr, syscall.EAGAIN) {
 		return false
-	} else if c.readErr != nil && c.readErr != io.EOF {
-		c.readErr = readError(os.NewSyscallError("read", c.readErr))
+	} else if c.readErr != nil {
+		c.broken = true
+		if c.readErr != io.EOF {
+			c.readErr = readError(os.NewSyscallError("read", c.readErr))
+		}
 	}
 	c.waiting, c.delivered = false, c.readN > 0
 	return true
@@ -242,7 +261,7 @@
 	if !c.inSection {
 		return 0, false
 	}
-	if c.http2(p) {
+	if c.endsPreface(p) {
 		return -c.charged, false
 	}
 	if c.size == 0 {
@@ -261,8 +280,8 @@
 	return SectionCost(c.size, c.lines) - c.charged, false
 }
 
-// http2 reports whether the connection has turned out to be one of HTTP/2, which has no header section of its own.
-func (c *Conn) http2(p []byte) bool {
+// endsPreface reports whether the connection has turned out to be one of HTTP/2, which has no header section of its own.
+func (c *Conn) endsPreface(p []byte) bool {
 	if c.prefaced < 0 {
 		return false
 	}
@@ -275,7 +294,7 @@
 	if c.prefaced += n; c.prefaced < len(http2Preface) {
 		return false
 	}
-	c.inSection, c.sectionEnd = false, time.Time{}
+	c.http2, c.inSection, c.sectionEnd = true, false, time.Time{}
 	c.size = 0
 	return true
 }
@@ -309,22 +328,35 @@
 	c.sections.Budget.Give(charged)
 }
 
-// refuse sends a refusal and waits until the caller can have read it.
+// refuse sends a refusal. The caller may still be sending.
 func (c *Conn) refuse() {
 	c.sections.OnClose(ReasonHeader)
 	c.setDelivered(false) // the refusal is the answer
 	c.release()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
 	c.sections.Refuse(c.Conn)
-	_ = c.CloseWrite()
-	time.Sleep(refusalTime)
+	c.linger()
 }
 
-// Enter records the phase of the connection.
+// SetHTTP2 records that HTTP/2 was negotiated with TLS.
+func (c *Conn) SetHTTP2() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http2 = true
+}
+
+// Enter records the phase of the connection. One that is being closed stays so.
 func (c *Conn) Enter(p Phase) {
 	c.mu.Lock()
+	if c.phase == PhaseClosing {
+		c.mu.Unlock()
+		return
+	}
 	c.phase = p
-	if p == PhaseIdle {
+	switch p {
+	case PhaseActive:
+		c.responding, c.unread, c.written = false, true, false
+	case PhaseIdle:
 		c.delivered = !c.waiting // net/http may have read the next request together with the last one
 	}
 	c.mu.Unlock()
@@ -344,6 +376,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
+	if c.phase == PhaseClosing {
+		return nil // the deadline is that of the input that is discarded
+	}
 	return c.Conn.SetReadDeadline(c.earliest())
 }
 
@@ -384,11 +419,33 @@
 	return charged
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It returns at once if the connection lingers. A second call ends that.
 func (c *Conn) Close() error {
 	c.mu.Lock()
-	first := !c.closed
+	lingers := !c.closed && (c.phase == PhaseClosing || c.lingers())
 	c.closed = true
+	c.mu.Unlock()
+	c.release()
+	if lingers && c.linger() {
+		return nil
+	}
+	return c.end()
+}
+
+// closeFor closes a connection that is retired, for a limit of all callers together.
+func (c *Conn) closeFor(reason string) {
+	c.mu.Lock()
+	c.reason, c.closed = reason, true
+	c.mu.Unlock()
+	c.release()
+	_ = c.end() // it cannot be used after a failed close either
+}
+
+// end closes the socket.
+func (c *Conn) end() error {
+	c.mu.Lock()
+	first := !c.ended
+	c.ended = true
 	closing := Closing{Reason: c.reason, Unanswered: c.retired && c.delivered && c.phase != PhaseActive}
 	c.mu.Unlock()
 	if first {
@@ -398,22 +455,12 @@
 			c.onClosing(closing)
 		}
 	}
-	c.release()
 	return c.Conn.Close()
 }
 
-// closeFor closes a connection that is retired, for a limit of all callers together.
-func (c *Conn) closeFor(reason string) {
-	c.mu.Lock()
-	c.reason = reason
-	c.mu.Unlock()
-	_ = c.Close() // it cannot be used after a failed close either
-}
-
-// CloseWrite closes the writing side, which net/http does before it waits for the caller to read a refusal.
+// CloseWrite closes the writing side, which net/http does after a response while the caller is still sending. It waits then,
+// and closes the connection, which lingers already.
 func (c *Conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
+	c.linger()
 	return nil
 }
--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -15,13 +15,15 @@
 	PhaseActive
 	// PhaseIdle is a connection that has carried a request and carries none now.
 	PhaseIdle
+	// PhaseClosing is a connection that has its last response and is being closed.
+	PhaseClosing
 	phases
 )
 
 // Guard bounds the number of connections. When it is reached, a new connection takes the place of the oldest one that
 // carries no request. It answers clients that open connections and leave them.
 //
-// A connection that has never carried a request goes before an idle one, and one at the address with most such
+// A connection that is being closed goes first, then one that has never carried a request, then an idle one, and one at the address with most such
 // connections goes first. An address has no limit of its own, because thousands of callers may share the one of a
 // balancer.
 type Guard struct {
@@ -140,7 +142,7 @@
 // oldest returns the connection that has carried no request for longest at the address with most of them, or nil if all
 // carry requests.
 func (g *Guard) oldest() *Member {
-	for _, phase := range []Phase{PhaseNew, PhaseIdle} {
+	for _, phase := range []Phase{PhaseClosing, PhaseNew, PhaseIdle} {
 		var most *queue[*Member]
 		for _, at := range g.groups {
 			if q := &at.useless[phase]; q.length > 0 && (most == nil || q.length > most.length) {
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -33,6 +33,7 @@
 		{"all carry requests", []step{{"a", PhaseActive}, {"a", PhaseActive}}, -1, []string{ReasonFull}},
 		{"oldest new", []step{{"a", PhaseActive}, {"a", PhaseNew}, {"a", PhaseNew}}, 1, []string{ReasonReplaced}},
 		{"new before idle", []step{{"a", PhaseIdle}, {"a", PhaseIdle}, {"a", PhaseNew}}, 2, []string{ReasonReplaced}},
+		{"closing before new", []step{{"a", PhaseNew}, {"b", PhaseNew}, {"b", PhaseNew}, {"a", PhaseClosing}}, 3, []string{ReasonReplaced}},
 		{"oldest idle", []step{{"a", PhaseActive}, {"a", PhaseIdle}, {"a", PhaseIdle}}, 1, []string{ReasonReplaced}},
 		{"address with most", []step{{"a", PhaseNew}, {"b", PhaseNew}, {"b", PhaseNew}}, 1, []string{ReasonReplaced}},
 	} {
--- /dev/null
+++ b/internal/callers/linger.go
@@ -0,0 +1,100 @@
+package callers
+
+import (
+	"net"
+	"time"
+)
+
+// The system resets a connection that is closed with unread bytes, or to which bytes still arrive, and the reset can destroy
+// a response that the caller has not read yet (RFC 9112, section 9.6). After a response that did not wait for the whole
+// request, a connection is therefore half-closed, and closed when the caller has closed its side or a bound is reached.
+const (
+	// lingerTime bounds how long input is discarded before a connection is closed.
+	lingerTime = 5 * time.Second
+	// lingerSilence bounds the wait for the next bytes meanwhile.
+	lingerSilence = time.Second
+	// lingerBytes bounds the input that is discarded, in bytes.
+	lingerBytes = 16 << 20
+	// lingerBuffer is the memory in bytes of a connection that discards its input: as much as a reader of net/http.
+	lingerBuffer = 4 << 10
+)
+
+// halfCloser is a connection whose sending side can be closed alone.
+type halfCloser interface {
+	net.Conn
+	CloseWrite() error
+}
+
+// StartResponse records that a handler has a request of HTTP/1 and begins its response.
+func (c *Conn) StartResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responding = true
+}
+
+// FinishResponse records that the handler's response is complete. unread is set if it did not wait for the whole request, and
+// last if net/http closes the connection after it. Reads of net/http fail after both: it would wait for the request's end
+// before it closes the connection.
+func (c *Conn) FinishResponse(unread, last bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responding, c.unread = false, unread
+	c.inputClosed = unread && last
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written = c.written || n > 0
+	c.broken = c.broken || err != nil
+	return n, err
+}
+
+// lingers reports whether the connection must linger when net/http closes it: its last response is complete, one of a
+// handler or of net/http itself, and the caller may still be sending the request.
+func (c *Conn) lingers() bool {
+	return c.phase == PhaseActive && !c.http2 && !c.responding && c.unread && c.written && !c.broken && c.reason == ""
+}
+
+// linger half-closes the connection and discards its input, after which it is closed. It reports false if that is not
+// possible.
+func (c *Conn) linger() bool {
+	half, ok := c.Conn.(halfCloser)
+	if !ok {
+		return false
+	}
+	c.mu.Lock()
+	if c.ended || c.phase == PhaseClosing {
+		c.mu.Unlock()
+		return true
+	}
+	c.phase, c.delivered, c.inputClosed = PhaseClosing, false, true
+	c.mu.Unlock()
+	c.member.Enter(PhaseClosing)
+	c.release()
+	if half.CloseWrite() != nil {
+		return false // the connection has failed
+	}
+	go c.discard()
+	return true
+}
+
+// discard reads until the caller closes its side or a bound is reached, and closes the connection.
+func (c *Conn) discard() {
+	buf := make([]byte, lingerBuffer)
+	end := time.Now().Add(lingerTime)
+	for left := lingerBytes; left > 0; {
+		until := time.Now().Add(lingerSilence)
+		if until.After(end) {
+			until = end
+		}
+		_ = c.Conn.SetReadDeadline(until) // fails only on a closed connection, whose next read fails, too
+		n, err := c.Conn.Read(buf)
+		if left -= n; err != nil {
+			break
+		}
+	}
+	_ = c.end() // it cannot be used after a failed close either
+}
--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -36,8 +36,7 @@
 	byteCost = 2
 	// minLine is the shortest header line in bytes: a name of one letter, a colon and a line feed.
 	minLine = 3
-	// refusalTime bounds the time to send a refusal, and the wait for the caller to read it before the connection is
-	// closed. net/http waits as long.
+	// refusalTime bounds the time to send a refusal.
 	refusalTime = 500 * time.Millisecond
 )
 
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -41,6 +41,9 @@
 	}
 	switch s {
 	case http.StateActive:
+		if t, ok := c.(*tls.Conn); ok && t.ConnectionState().NegotiatedProtocol == "h2" {
+			conn.SetHTTP2()
+		}
 		conn.Enter(callers.PhaseActive)
 	case http.StateIdle:
 		conn.Enter(callers.PhaseIdle)
@@ -155,8 +158,8 @@
 // headers and bodies together do not fit. That of the header section is reserved already on HTTP/1.1.
 func (x *exchange) reserve() *Refusal {
 	cost := callers.SectionCost(headerSize(x.r), headerLines(x.r))
-	if c, _ := x.r.Context().Value(callerConnKey{}).(*callers.Conn); c != nil {
-		cost -= c.Trim(cost)
+	if x.conn != nil {
+		cost -= x.conn.Trim(cost)
 	}
 	cost += requestCost
 	if hasBody(x.r) && !x.needsRelay {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -37,8 +37,9 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	control    http.ResponseController
-	relayed    bool // received from an entry outside the home regions
-	needsRelay bool // must be relayed to an entry inside the home regions
+	conn       *callers.Conn // nil if the request was relayed
+	relayed    bool          // received from an entry outside the home regions
+	needsRelay bool          // must be relayed to an entry inside the home regions
 
 	route             table.Route
 	pool              table.Pool
@@ -122,6 +123,10 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, relayed bool) {
 	x := &exchange{e: e, w: w, r: r, control: *http.NewResponseController(w), relayed: relayed, start: time.Now()}
 	x.id = requestID(r.Header.Get(e.proto.RequestID))
+	x.conn, _ = r.Context().Value(callerConnKey{}).(*callers.Conn)
+	if x.conn != nil && r.ProtoMajor == 1 {
+		x.conn.StartResponse()
+	}
 	x.firstTry = reusesConnection(r.Context()) && e.proto.RetryOpensConnection
 	e.running.Add(1)
 	defer e.running.Add(-1)
@@ -139,6 +144,7 @@
 	if x.report.aborted {
 		panic(http.ErrAbortHandler)
 	}
+	x.finishResponse()
 	// net/http sends the end of the response after this, without a deadline of its own: a caller that reads nothing would
 	// hold its connection without end. It removes the deadline before the next request.
 	_ = x.control.SetWriteDeadline(time.Now().Add(x.e.timing.responseStall))
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -44,29 +44,40 @@
 		x.report.aborted, x.report.cause = true, callerLeft // the caller is gone
 		return
 	}
-	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.r.ContentLength != 0 && !x.bodyComplete())
+	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.bodyUnread())
 	x.forbid1xx() // first, because forward1xx also writes to the header
 	x.w.Header()[x.e.proto.RequestID] = []string{x.id}
 	f.write(x.w, &x.e.proto)
-	if f.Close && x.body != nil && !x.bodyComplete() {
-		// net/http reads on before it closes the connection, and the caller may pause.
-		_ = x.control.SetReadDeadline(time.Now().Add(refusedBodyTime))
-	}
 }
 
-// refusedBodyTime is how long the rest of a body is read after a refusal, so that a caller that is still sending gets the
-// refusal before its connection is closed.
-const refusedBodyTime = time.Second
-
 // callerGone reports whether the caller has disconnected. The request's context is also
 // cancelled when a read of the body was interrupted; the caller is then still connected.
 func (x *exchange) callerGone() bool {
 	return x.r.Context().Err() != nil && (x.body == nil || !x.body.progress.interrupted.Load())
 }
 
-// bodyComplete reports whether the body was received to its end, so that the caller's connection
-// can be reused.
-func (x *exchange) bodyComplete() bool { return x.body != nil && x.body.complete() }
+// bodyUnread reports whether the request has a body that was not received to its end. The caller's connection cannot be
+// reused then.
+func (x *exchange) bodyUnread() bool {
+	return x.r.ContentLength != 0 && (x.body == nil || !x.body.complete())
+}
+
+// finishResponse tells the connection that the response is complete. It keeps net/http from waiting for the rest of a body
+// after a response with which the connection ends; callers.Conn discards it, and a stream of another entry is never reset.
+func (x *exchange) finishResponse() {
+	if x.r.ProtoMajor != 1 {
+		return
+	}
+	unread, last := x.bodyUnread(), x.r.Close || x.w.Header().Get("Connection") == "close"
+	if x.conn != nil {
+		x.conn.FinishResponse(unread, last)
+	} else if unread && last {
+		_ = x.control.SetReadDeadline(time.Now().Add(relayedBodyTime))
+	}
+}
+
+// relayedBodyTime bounds how long net/http reads the rest of a relayed body after the response.
+const relayedBodyTime = time.Second
 
 func (x *exchange) forbid1xx() {
 	x.mu.Lock()
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -84,7 +84,7 @@
 
 // Guards against a connection that a refused caller holds for as long as it pauses in the middle of its body.
 func TestRefusalDuringAnUploadClosesTheConnection(t *testing.T) {
-	const bound = refusedBodyTime + time.Second
+	const bound = 2 * time.Second
 	is := is.New(t)
 	upstream := newRawUpstream(t, func(_ int64, c net.Conn) {
 		_, _ = c.Read(make([]byte, 4096))
@@ -96,10 +96,15 @@
 	defer c.Close()
 	_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstart\r\n"))
 	is.NoErr(err)
-	is.NoErr(c.SetReadDeadline(time.Now().Add(bound)))
+	end := time.Now().Add(bound)
+	is.NoErr(c.SetReadDeadline(end))
 	answer, err := io.ReadAll(c)
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 502 "))
+	for h.entry.CallerUse().Connections > 0 {
+		is.True(time.Now().Before(end)) // the connection is held although its caller sends nothing
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // Guards against sending a suspect request again to an upstream that it may have
