--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -15,14 +15,16 @@
 	PhaseActive
 	// PhaseIdle is a connection that has carried a request and carries none now.
 	PhaseIdle
+	// PhaseClosing is a connection that has its last response and is being closed.
+	PhaseClosing
 	phases
 )
 
 // Guard bounds the number of connections. When it is reached, a new connection takes the place of the oldest one that
 // carries no request. It answers clients that open connections and leave them.
 //
-// A connection that has never carried a request goes before an idle one, and one at the address with most such
-// connections goes first. An address has no limit of its own, because thousands of callers may share the one of a
+// A connection that is being closed goes first, then one that has never carried a request, then an idle one; among them, one
+// at the address with most such connections. An address has no limit of its own, because thousands of callers may share the one of a
 // balancer.
 type Guard struct {
 	limit   int
@@ -126,10 +128,9 @@
 	return true
 }
 
-// retireOldest returns the connection that is closed next, or nil if all carry requests. Those that have never carried one
-// go first.
+// retireOldest returns the connection that is closed next, or nil if all carry requests.
 func (g *Guard) retireOldest() *Member {
-	for _, phase := range []Phase{PhaseNew, PhaseIdle} {
+	for _, phase := range []Phase{PhaseClosing, PhaseNew, PhaseIdle} {
 		for range maxCandidates {
 			m := g.oldest(phase)
 			if m == nil {
--- a/internal/callers/http2.go
+++ b/internal/callers/http2.go
@@ -12,9 +12,12 @@
 func (c *Conn) IsHTTP2() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.prefaced == len(http2Preface)
+	return c.multiplexed()
 }
 
+// multiplexed is IsHTTP2 under the mutex.
+func (c *Conn) multiplexed() bool { return c.prefaced == len(http2Preface) }
+
 // SetHTTP2 records that the connection is one of HTTP/2, which has no header section of its own. See also Guard.CloseQuiet.
 func (c *Conn) SetHTTP2() {
 	c.mu.Lock()
