e2e: send more requests in the kill phase when all were refused

Cause: the phase sends eight requests once, after a phase in which the upstreams refuse work, and waits until one of them runs. The results are now logged when the phase fails. In the failed run all eight had ended after 0.5 to 0.9 s with 503 "overloaded" and the outcome not-run, so none was left that could run, and the test waited for a minute. A refusal that says not-run is allowed there: the concurrency limit of slow upstreams decreases.

Change: when all requests so far have ended with not-run, eight more with new identities are sent. Any other result stops that, as before. All identities are repeated and checked like the first eight. The bound of a minute is unchanged.

--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -175,14 +175,25 @@
 	t.Helper()
 	setFaults(t, l.upstreams, standin.UpstreamFaults{SlowMS: 1000})
 	var identities []string
+	defer func() {
+		if t.Failed() {
+			l.logResults(t, identities)
+		}
+	}()
 	var wg sync.WaitGroup
-	for i := range 8 {
-		identity := fmt.Sprintf("cut-%d", i)
-		identities = append(identities, identity)
-		wg.Go(func() { l.record(identity, postOrder(victim, identity)) })
+	send := func() {
+		for range 8 {
+			identity := fmt.Sprintf("cut-%d", len(identities))
+			identities = append(identities, identity)
+			wg.Go(func() { l.record(identity, postOrder(victim, identity)) })
+		}
 	}
+	send()
 	// The concurrency limit of a slow upstream decreases, so some requests may not run.
 	until(t, "an upstream runs one of the requests", func() bool {
+		if l.allNotRun(identities) { // none is left that could run
+			send()
+		}
 		runs, err := fetchRuns(l.upstreams)
 		return err == nil && slices.ContainsFunc(identities, func(identity string) bool { return runs[identity] > 0 })
 	})
@@ -196,6 +207,32 @@
 	wg.Wait()
 }
 
+// allNotRun reports whether all copies of some identities have ended and did not run.
+func (l *duplicateLoad) allNotRun(identities []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !slices.ContainsFunc(identities, func(identity string) bool {
+		copies := l.results[identity]
+		return len(copies) == 0 || slices.ContainsFunc(copies, func(c copyResult) bool { return !c.notRun() })
+	})
+}
+
+// logResults logs the results so far of some identities.
+func (l *duplicateLoad) logResults(t *testing.T, identities []string) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, identity := range identities {
+		if len(l.results[identity]) == 0 {
+			t.Logf("%s: no result yet", identity)
+		}
+		for _, c := range l.results[identity] {
+			t.Logf("%s: status %d, outcome %q, no response %t, sent at %s, ended after %s: %s", identity, c.status, c.outcome, c.noResponse,
+				c.start.Format(time.TimeOnly+".000"), c.end.Sub(c.start), c.body)
+		}
+	}
+}
+
 func (l *duplicateLoad) counts() (ended, notRun int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
