callers: refuse a request that was read while all memory is in use

What callers saw: a request that was read whole was closed without a refusal while other requests used the memory.

Cause: there is a budget for refusals besides that of requests, but the memory of the header section is reserved before, on the connection, which was closed if there was none.

If the section ends with the bytes that do not fit, the connection sends 503 memory-in-use and lingers, as it does for a section over the limit. A section that is still arriving is closed as before.

--- a/internal/callers/closing_test.go
+++ b/internal/callers/closing_test.go
@@ -15,7 +15,7 @@
 	s, _ := testSections(1 << 20)
 	c, client := pipe(s, false)
 	retired := false
-	s.Refuse = func(net.Conn) { retired = c.retire() }
+	s.Refuse = func(net.Conn, string) { retired = c.retire() }
 	_ = feed(c, client, strings.Repeat("a", 1001))
 	is.True(!retired)
 }
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -132,6 +132,9 @@
 // http2Preface starts a connection of HTTP/2 (RFC 9113, section 3.4).
 const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
 
+// headerEnd is the end of the last header line and the empty line after it.
+const headerEnd = "\r\n\r\n"
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.receive(p)
@@ -141,11 +144,15 @@
 	cost, tooLarge := c.count(p[:n])
 	switch {
 	case tooLarge:
-		c.refuse()
+		c.sections.OnClose(ReasonHeader)
+		c.refuse(ReasonHeader)
 		return 0, errClosed
 	case cost < 0: // the section turned out to be the start of HTTP/2
 		c.release()
 	case cost > 0 && !c.reserve(cost):
+		if c.wasRead(p[:n]) {
+			c.refuse(ReasonMemory)
+		}
 		return 0, errClosed
 	}
 	return n, err
@@ -357,14 +364,21 @@
 }
 
 // refuse sends a refusal. The caller may still be sending.
-func (c *Conn) refuse() {
-	c.sections.OnClose(ReasonHeader)
+func (c *Conn) refuse(reason string) {
 	c.release()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
-	c.sections.Refuse(c.Conn)
+	c.sections.Refuse(c.Conn, reason)
 	c.linger()
 }
 
+// wasRead reports whether the header section for which there is no memory ends with these bytes. A section that is still
+// arriving is closed without a refusal.
+func (c *Conn) wasRead(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.overBudget && !c.encrypted && bytes.Contains(p, []byte(headerEnd))
+}
+
 // Enter records the phase of the connection. One that is being closed stays so.
 func (c *Conn) Enter(p Phase) {
 	c.mu.Lock()
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -25,7 +25,7 @@
 func testSections(budget int64) (*Sections, *[]string) {
 	var reasons []string
 	return &Sections{
-		Budget: NewBudget(budget), MaxBytes: func() int64 { return 1000 }, Refuse: func(net.Conn) {}, Timeout: func() time.Duration { return time.Minute },
+		Budget: NewBudget(budget), MaxBytes: func() int64 { return 1000 }, Refuse: func(net.Conn, string) {}, Timeout: func() time.Duration { return time.Minute },
 		OnClose: func(reason string) { reasons = append(reasons, reason) },
 	}, &reasons
 }
--- a/internal/callers/section.go
+++ b/internal/callers/section.go
@@ -19,8 +19,9 @@
 	MaxBytes func() int64
 	// Timeout returns the time to receive a section; zero means that net/http's own applies.
 	Timeout func() time.Duration
-	// Refuse sends a refusal to a caller whose section is over MaxBytes.
-	Refuse func(net.Conn)
+	// Refuse sends a refusal to a caller whose section is over MaxBytes (ReasonHeader) or for which there is no memory
+	// (ReasonMemory).
+	Refuse func(c net.Conn, reason string)
 	// OnClose is called for each connection that is closed, with the reason.
 	OnClose func(reason string)
 
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -116,9 +116,12 @@
 // Write implements http.ResponseWriter.
 func (w *rawResponse) Write(p []byte) (int, error) { return w.body.Write(p) }
 
-// refuseSection refuses a header section that is larger than its limit.
-func (e *Entry) refuseSection(c net.Conn) {
-	f := refuseHeader(int64(e.limits().HeaderBytes))
+// refuseSection refuses a header section that net/http has not parsed.
+func (e *Entry) refuseSection(c net.Conn, reason string) {
+	f := refuseMemory()
+	if reason == callers.ReasonHeader {
+		f = refuseHeader(int64(e.limits().HeaderBytes))
+	}
 	f.Outcome = Unknown // method and identity are not known, and the request may repeat one that ran
 	w := &rawResponse{header: http.Header{}}
 	f.write(w, &e.proto)
