callers: count each request whose connection ends without a response

turmericsail_unanswered_connections_total could not rise on Unix: it counted closes for a limit after a request had been read, which no longer happen. What net/http, an aborted request or a panic ends left no trace.

A connection over plain HTTP/1 is now counted if a request was read and no part of a response was sent, unless the header section failed or the caller closed the connection. TestRequestWithoutAResponseIsCounted fails before in the case "given up"; 3 runs with the race detector pass.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -29,7 +29,8 @@
 type Closing struct {
 	// Reason is that of a limit of all callers together, ReasonIdle, or empty if net/http closes the connection.
 	Reason string
-	// Unanswered is set if bytes of a request were read that no handler has seen, other than the start of a section.
+	// Unanswered is set if a request was read, no part of a response was sent, and the caller has not closed the connection.
+	// It is not known on encrypted connections and those of HTTP/2.
 	Unanswered bool
 	// Unread is set if bytes have arrived that were not read. The system resets such a connection, and the reset can
 	// destroy a response on its way to the caller.
@@ -108,6 +109,8 @@
 	written     bool // bytes of a response were sent
 	broken      bool // the caller has closed its side, or the connection has failed
 	inputClosed bool // net/http gets no more bytes
+	// sectionFailed is set if the header section was not read to its end.
+	sectionFailed bool
 
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
@@ -215,6 +218,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting, c.delivered = false, n > 0
+	c.sectionFailed = c.sectionFailed || n == 0 && c.phase != PhaseActive
 	c.broken = c.broken || (err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 }
 
@@ -233,6 +237,7 @@
 		}
 	}
 	c.waiting, c.delivered = false, c.readN > 0
+	c.sectionFailed = c.sectionFailed || c.readN == 0 && c.phase != PhaseActive
 	return true
 }
 
@@ -336,7 +341,7 @@
 	if !c.sections.admit(c, cost) {
 		c.sections.finish(c)
 		c.mu.Lock()
-		c.overBudget = true
+		c.overBudget, c.sectionFailed = true, true
 		c.mu.Unlock()
 		return false
 	}
@@ -391,6 +396,7 @@
 	case PhaseActive:
 		c.responding, c.unread, c.written = false, true, false
 	case PhaseIdle:
+		c.sectionFailed = false
 		c.delivered = !c.waiting // net/http may have read the next request together with the last one
 		if c.multiplexed() {
 			c.settlesAt = time.Now().Add(settleTime)
@@ -483,7 +489,7 @@
 	c.mu.Lock()
 	first := !c.ended
 	c.ended = true
-	closing := Closing{Reason: c.reason, Unanswered: c.retired && c.delivered && c.phase != PhaseActive}
+	closing := Closing{Reason: c.reason, Unanswered: c.unanswered()}
 	c.mu.Unlock()
 	if first {
 		c.member.Leave()
@@ -495,6 +501,17 @@
 	return c.Conn.Close()
 }
 
+// unanswered reports whether a request was read whose connection ends without a response; see Closing.
+func (c *Conn) unanswered() bool {
+	switch {
+	case c.encrypted || c.multiplexed() || c.broken || c.sectionFailed:
+		return false
+	case c.phase == PhaseActive:
+		return !c.written
+	}
+	return c.delivered && c.phase != PhaseClosing && c.reason != ""
+}
+
 // CloseWrite closes the writing side, which net/http does after a response while the caller is still sending. It waits then,
 // and closes the connection, which lingers already.
 func (c *Conn) CloseWrite() error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,14 +64,15 @@
 	conns         *connPools
 	relayDialer   *relayDialer
 
-	listener atomic.Pointer[callers.Listener]
-	accepted chan struct{} // closed when no more connections are accepted
-	stopping atomic.Bool   // the listener is closed, or will be
-	leaving  atomic.Bool
-	endsAt   atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
-	running  atomic.Int64
-	relayed  atomic.Int64 // open streams of relayed requests
-	waiting  waitingRequests
+	listener  atomic.Pointer[callers.Listener]
+	onClosing func(callers.Closing)
+	accepted  chan struct{} // closed when no more connections are accepted
+	stopping  atomic.Bool   // the listener is closed, or will be
+	leaving   atomic.Bool
+	endsAt    atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
+	running   atomic.Int64
+	relayed   atomic.Int64 // open streams of relayed requests
+	waiting   waitingRequests
 }
 
 var (
@@ -102,6 +103,7 @@
 	e.relayDialer = newRelayDialer(maxResponseHeader)
 	e.relayListener = newStreamListener()
 	e.accepted = make(chan struct{})
+	e.onClosing = e.connectionClosing
 	e.server = e.newServer(false)
 	e.server.Protocols = new(http.Protocols)
 	e.server.Protocols.SetHTTP1(true)
@@ -186,7 +188,7 @@
 }
 
 func (e *Entry) serveCallers(l net.Listener) error {
-	own := &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil, OnClosing: e.connectionClosing}
+	own := &callers.Listener{Listener: l, Guard: e.guard, Sections: e.sections, Encrypted: e.cfg.Callers.TLS != nil, OnClosing: e.onClosing}
 	defer close(e.accepted)
 	if e.listener.Store(own); e.stopping.Load() {
 		return own.Close()
--- a/internal/entry/unanswered_test.go
+++ b/internal/entry/unanswered_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/net/http2"
 
+	"github.com/turmericsail/turmericsail/internal/callers"
 	"github.com/turmericsail/turmericsail/internal/control"
 	"github.com/turmericsail/turmericsail/internal/settings"
 	"github.com/turmericsail/turmericsail/internal/standin"
@@ -257,3 +258,38 @@
 	is.True(strings.HasPrefix(string(response), "HTTP/1.1 400"))
 	is.NoErr(err)
 }
+
+// Guards against requests that end without a response and leave no trace, and against a trace of those that have one.
+func TestRequestWithoutAResponseIsCounted(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		exhaust bool // no memory is left for refusals either
+		request string
+		leaves  bool // the caller closes the connection
+		counted bool
+	}{
+		{"given up", true, "GET / HTTP/1.1\r\nHost: a\r\n\r\n", false, true},
+		{"answered", false, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", false, false},
+		{"refused", false, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTurmericsail-Deadline: none\r\n\r\n", false, false},
+		{"malformed", false, "GET / HTTP/9.9\r\n\r\n", false, false},
+		{"left in the header section", false, "GET / HTT", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			closed := make(chan callers.Closing, 1)
+			h := newHarness(t, testRoute(), []string{serveUpstream(t, served)}, withBudget(64<<10), withEntry(func(e *Entry) { e.onClosing = func(c callers.Closing) { closed <- c } }))
+			if c.exhaust {
+				is.True(h.entry.budget.Take(h.entry.budget.Limit() - callers.SectionCost(100, 10)))
+				is.True(h.entry.refusals.Take(h.entry.refusals.Limit()))
+			}
+			caller := dialCaller(t, h.addr)
+			_, err := io.WriteString(caller, c.request)
+			is.NoErr(err)
+			if !c.leaves {
+				_, _ = io.Copy(io.Discard, caller) // until the connection ends
+			}
+			_ = caller.Close()
+			is.Equal((<-closed).Unanswered, c.counted)
+		})
+	}
+}
