--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -2,10 +2,7 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -132,12 +129,12 @@
 // that was read is then taken for all of it. See Write.
 var errClosed = &net.OpError{Op: "read", Err: net.ErrClosed}
 
-// http2Preface starts a connection of HTTP/2 (RFC 9113, section 3.4).
-const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-
 // headerEnd is the end of the last header line and the empty line after it.
 const headerEnd = "\r\n\r\n"
 
+// http2Preface starts a connection of HTTP/2 (RFC 9113, section 3.4).
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.receive(p)
@@ -183,114 +180,6 @@
 	return c.closed || c.overBudget || c.retired && c.reason != ReasonIdle
 }
 
-// receive reads from the socket under the mutex, so that retire is either before the read, which then fails, or knows of
-// its bytes.
-func (c *Conn) receive(p []byte) (n int, err error) {
-	if !c.startRead() {
-		return 0, errClosed
-	}
-	if c.raw == nil {
-		n, err = c.Conn.Read(p)
-		c.endRead(n, err)
-		return n, err
-	}
-	c.dst = p
-	if waitErr := c.raw.Read(c.readNow); waitErr != nil {
-		c.endRead(0, nil)
-		return 0, readError(waitErr)
-	}
-	return c.readN, c.readErr
-}
-
-// startRead records that net/http asks for more bytes, and reports false if it gets none.
-func (c *Conn) startRead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inputClosed {
-		return false
-	}
-	c.waiting, c.delivered = true, false
-	return true
-}
-
-// endRead records that net/http gets n bytes or an error of the connection.
-func (c *Conn) endRead(n int, err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.waiting, c.delivered = false, n > 0
-	c.sectionFailed = c.sectionFailed || n == 0 && c.phase != PhaseActive
-	c.broken = c.broken || (err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
-}
-
-// readArrived reads what has arrived, and reports false if that is nothing yet. It is called with the socket.
-func (c *Conn) readArrived(fd uintptr) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.retired || c.inputClosed {
-		c.readN, c.readErr = 0, errClosed
-	} else if c.readN, c.readErr = socket.Read(fd, c.dst); errors.Is(c.readErr, syscall.EAGAIN) {
-		return false
-	} else if c.readErr != nil {
-		c.broken = true
-		if c.readErr != io.EOF {
-			c.readErr = readError(os.NewSyscallError("read", c.readErr))
-		}
-	}
-	c.waiting, c.delivered = false, c.readN > 0
-	c.sectionFailed = c.sectionFailed || c.readN == 0 && c.phase != PhaseActive
-	return true
-}
-
-// readError returns an error as Read of package net has it, by which net/http tells that it must not respond.
-func readError(err error) error {
-	var cause *net.OpError
-	if errors.As(err, &cause) {
-		err = cause.Err
-	}
-	return &net.OpError{Op: "read", Err: err}
-}
-
-// retire decides that the connection will be closed, unless bytes were delivered to net/http that may be a request. After
-// it, no more bytes are read.
-func (c *Conn) retire() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.retireLocked()
-}
-
-func (c *Conn) retireLocked() bool {
-	if c.retired || c.delivered || c.phase == PhaseActive || c.settlesAt.After(time.Now()) {
-		return false
-	}
-	c.retired = true
-	return true
-}
-
-// RetireIdle is retire for a connection that has been idle for too long. The caller must close it if it is retired.
-func (c *Conn) RetireIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.phase != PhaseIdle || !c.retireIfQuiet() {
-		return false
-	}
-	c.reason = ReasonIdle
-	return true
-}
-
-// retireQuiet is retire for a connection on which no request is arriving. A request that has begun to arrive has its own
-// timeout.
-func (c *Conn) retireQuiet() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.retireIfQuiet()
-}
-
-// retireIfQuiet retires the connection unless bytes of a section have been read, which is not known if it is encrypted, or
-// have arrived.
-func (c *Conn) retireIfQuiet() bool {
-	return (c.encrypted || c.size == 0) && !socket.HasUnread(c.raw) && c.retireLocked()
-}
-
 // count adds bytes to the header section, if one is being read, and returns what they cost.
 func (c *Conn) count(p []byte) (cost int64, tooLarge bool) {
 	c.mu.Lock()
