rate: let a failure of a test in virtual time end its calls first

Its calls went on after a failure, which ended the whole package with a panic. They now end in any case, and the test prints what it found; its checks are as they were.

--- a/pkg/rate/service_test.go
+++ b/pkg/rate/service_test.go
@@ -136,6 +136,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute) // calls end
+		defer cancel()
 		limit := Limit{"w", 50, 100}
 		f := startFleet(ctx, 8, []Limit{limit})
 		time.Sleep(20 * time.Second)
@@ -157,9 +159,8 @@
 		s.mu.Lock()
 		id, ok := s.borrower.Lender(Region("w", []string{"north", "south"}))
 		s.mu.Unlock()
+		t.Logf("lender known: %v, the dead one: %v", ok, id == dead)
 		is.True(ok && id != dead)
-		cancel()
-		time.Sleep(time.Minute) // calls end
 	})
 }
 
