quarantine: a refusal takes effect after the answers of copies can have arrived

Callers of a harmless request that many send were refused for a moment when several crashing requests ended three upstreams within milliseconds, each of which ran a copy of it.

Cause: a copy that began milliseconds after the first loss, when no instance could know of it, counts as run after that loss, so three losses within 24 ms counted as successive ones. The answers of other copies, which clear them, were on their way.

Change: for 250 ms after the decision the request is sampled, as with losses that came together; then it is refused, unless an answer has cleared it.

TestRefusalWaitsForAnswersOfCopies failed before.

--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -293,10 +293,10 @@
 
 // countLoss counts a loss against a fingerprint and reports whether it is news. The caller holds mu.
 func (s *Service) countLoss(now time.Time, f Fingerprint, l Loss, home []string) bool {
-	before := s.table.Admit(now, f)
+	refused := now.Before(s.table.RefusedUntil(f))
 	news := s.table.RecordLoss(now, f, l, home)
-	if before != Refuse && s.table.Admit(now, f) == Refuse {
-		s.Log.Info("request refused from now on", "fingerprint", f.Short(), "losses", len(s.table.records[f].losses), "until", s.table.RefusedUntil(f))
+	if until := s.table.RefusedUntil(f); !refused && now.Before(until) {
+		s.Log.Info("request will be refused unless it is answered", "fingerprint", f.Short(), "losses", len(s.table.records[f].losses), "until", until)
 	}
 	return news
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -17,8 +17,8 @@
 	Serialize
 	// Refuse means that the request must not run.
 	Refuse
-	// Sample means that enough upstreams were lost, but at the same time, so that another cause is as likely. Of all
-	// instances together about one request at a time may run, as a suspect; its end decides.
+	// Sample means that enough upstreams were lost, but that another cause is as likely, or that an answer that clears the
+	// request may be on its way. Of all instances together about one request at a time may run, as a suspect; its end decides.
 	Sample
 )
 
@@ -65,6 +65,8 @@
 	switch {
 	case r == nil || !now.Before(r.expires) || len(r.losses) == 0:
 		return Run
+	case now.Before(r.refusedUntil) && t.mayBeCleared(now, r):
+		return Sample
 	case now.Before(r.refusedUntil):
 		return Refuse
 	case t.settings.Confine > 0 && !f.withoutBody() && len(r.losses) >= t.settings.MinLosses && !t.crashes(r.losses):
@@ -73,6 +75,16 @@
 	return Serialize
 }
 
+// clearTime is the time until a refusal takes effect. Copies of a harmless request that ran beside those that were cut are
+// answered meanwhile, and the instances learn of it.
+const clearTime = 250 * time.Millisecond
+
+// mayBeCleared reports whether a refusal is so recent that the answer to another copy of the request may be on its way.
+// Where suspects run one at a time there are no such copies.
+func (t *Table) mayBeCleared(now time.Time, r *record) bool {
+	return t.settings.Confine > 0 && !r.reported && now.Sub(r.refusedAt) < clearTime
+}
+
 // RecordLoss counts a loss against a fingerprint. It returns false if the loss changes
 // nothing: it is already recorded, too old, or precedes a successful response.
 func (t *Table) RecordLoss(now time.Time, f Fingerprint, l Loss, home []string) bool {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -70,6 +70,45 @@
 	}
 }
 
+// Guards against the refusal of a harmless request whose copies were cut by several crashing ones within milliseconds, while
+// the answers of other copies were on their way.
+func TestRefusalWaitsForAnswersOfCopies(t *testing.T) {
+	s := settings()
+	s.Confine, s.MinLosses, s.Together = 2, 3, 0
+	ms := func(n int) time.Time { return start.Add(time.Duration(n) * time.Millisecond) }
+	for _, c := range []struct {
+		name     string
+		cuts     [3]int // milliseconds; each run began when the one before was cut
+		answered bool
+		at       int
+		want     Verdict
+	}{
+		{"three losses", [3]int{0, 10, 24}, false, 24, Sample},
+		{"until an answer can have arrived", [3]int{0, 10, 24}, false, 273, Sample},
+		{"then", [3]int{0, 10, 24}, false, 274, Refuse},
+		{"answered", [3]int{0, 10, 24}, true, 40, Run},
+		{"answered, later", [3]int{0, 10, 24}, true, 400, Run},
+		{"three losses over a longer time", [3]int{0, 1000, 2500}, false, 2749, Sample},
+		{"then, after a longer time", [3]int{0, 1000, 2500}, false, 2750, Refuse},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table, f := NewTable(s), fingerprint(1)
+			for i, at := range c.cuts {
+				l := Loss{Upstream: uint64(i + 1), Domain: uint64(i + 1), At: ms(at)}
+				if i > 0 {
+					l.Began = ms(c.cuts[i-1]).Add(time.Microsecond)
+				}
+				is.True(table.RecordLoss(ms(at), f, l, nil))
+			}
+			if c.answered {
+				is.True(table.RecordSuccess(ms(30), f, ms(30), nil))
+			}
+			is.Equal(table.Admit(ms(c.at), f), c.want)
+		})
+	}
+}
+
 // Guards against a refusal that ends early or never, and against a crashing request
 // that can take down two more upstreams after each refusal.
 func TestFingerprintIsSuspectAfterRefusal(t *testing.T) {
