quarantine: repeat the latest answer with each report of a loss

Callers of a harmless request were refused for a second or more at an instance that knew of losses before and after an answer, but not of the answer.

Cause: reports are calls of their own, several at a time. A call with an answer that got lost was repeated after its time-out of 1 s, while later losses arrived and counted together with those that the answer clears.

Change: a report of a loss starts with the latest answer to that request, if it is less than 5 s old.

TestLossDoesNotOvertakeTheAnswerBeforeIt failed before.

--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -508,11 +508,11 @@
 // sendTo starts a call with what a contact has not got. The caller holds mu.
 func (s *Service) sendTo(ctx context.Context, now time.Time, to peer.InstanceID, homes audience) {
 	c := s.outbox.contacts[to]
-	positions := s.outbox.collect(c, maxItems, func(e event) (send, known bool) {
+	positions := s.outbox.collect(c, maxItems/2, func(e event) (send, known bool) {
 		in, known := homes.has(e.homeRegions, to)
 		return in && s.inForce(now, e), known
 	})
-	report := &peerpb.QuarantineReport{Items: make([]*peerpb.QuarantineItem, 0, len(positions))}
+	report := &peerpb.QuarantineReport{Items: s.recentAnswers(now, positions)}
 	for _, p := range positions {
 		report.Items = append(report.Items, newItem(now, s.outbox.at(p)))
 	}
@@ -559,6 +559,27 @@
 	})
 }
 
+// repeatTime is how long an answer is repeated with each report of a loss: the call with the answer may have failed.
+const repeatTime = 5 * time.Second
+
+// recentAnswers returns the latest answers, one for a loss at most, to the requests whose losses are reported, so that a loss does not arrive
+// before an answer that precedes it and count together with the losses that the answer clears. The caller holds mu.
+func (s *Service) recentAnswers(now time.Time, positions []int64) (items []*peerpb.QuarantineItem) {
+	seen := map[Fingerprint]bool{}
+	for _, p := range positions {
+		e := s.outbox.at(p)
+		r := s.table.records[e.f]
+		if e.cleared || !e.refusedUntil.IsZero() || r == nil || seen[e.f] {
+			continue
+		}
+		seen[e.f] = true
+		if age(now, r.clearedAt) < repeatTime {
+			items = append(items, newItem(now, event{f: e.f, loss: Loss{At: r.clearedAt}, cleared: true, homeRegions: r.homeRegions}))
+		}
+	}
+	return items
+}
+
 // inForce reports whether an event still says something: it is not if the request was answered since.
 func (s *Service) inForce(now time.Time, e event) bool {
 	r := s.table.records[e.f]
--- a/pkg/quarantine/spread_test.go
+++ b/pkg/quarantine/spread_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/turmericsail/turmericsail/pkg/peer"
 	"github.com/turmericsail/turmericsail/pkg/peer/peertest"
@@ -51,3 +53,54 @@
 		synctest.Wait()
 	})
 }
+
+// lossyTransport loses the calls that begin while lossy is set.
+type lossyTransport struct {
+	peer.Transport
+	lossy *atomic.Bool
+}
+
+func (f lossyTransport) Call(ctx context.Context, to peer.InstanceID, service string, request, response proto.Message) error {
+	if f.lossy.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return f.Transport.Call(ctx, to, service, request, response)
+}
+
+// Guards against a refusal by an instance that has learned of the losses before and after an answer, but not yet of the
+// answer, whose report was lost.
+func TestLossDoesNotOvertakeTheAnswerBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		net := peertest.New(1)
+		ids := []peer.InstanceID{"e0/1", "e1/1"}
+		var lossy atomic.Bool
+		var services []*Service
+		for i, id := range ids {
+			s, err := NewService(Config{
+				Transport:   lossyTransport{net.Join(id, fmt.Sprintf("10.0.0.%d:1", i)), &lossy},
+				InstancesIn: func([]string) []peer.InstanceID { return ids[1-i : 2-i] }, Settings: fleetSettings(), Log: logr.Discard(),
+			})
+			is.NoErr(err)
+			services = append(services, s)
+			go func() { _ = s.Run(ctx) }()
+		}
+		lose := func(u int) {
+			services[0].RecordOutcome(time.Now(), time.Now().Add(-time.Millisecond), upstream(u), path(0), Cut, nil)
+			services[0].RecordRefusedConnection(time.Now(), upstream(u))
+			time.Sleep(10 * time.Millisecond)
+		}
+		lose(0)
+		lose(1)
+		lossy.Store(true)
+		services[0].RecordOutcome(time.Now(), time.Now(), upstream(9), path(0), Completed, nil)
+		time.Sleep(10 * time.Millisecond)
+		lossy.Store(false)
+		lose(2)
+		is.Equal(services[1].Admit(time.Now(), path(0)), Serialize) // one loss
+		cancel()
+		synctest.Wait()
+	})
+}
