rate: probe a lender that failed before calling it again

Cause: a borrower returned to the preferred lender when its pause of 5 s was over, without knowing that it answers. It left the lender that answers, called the dead one for 0.3 to 0.5 s, and had only its own share meanwhile. A trace of when each instance named the dead lender shows it 5 to 18 s after the death and again later.

Change: a lender that failed gets a probe, a request without asks beside the calls, when its pause is over, and is usable after an answer. The test now looks at all instances for 60 s in place of one instance at 10 s; a new one checks that a lender that returns is preferred again.

--- a/pkg/rate/borrower.go
+++ b/pkg/rate/borrower.go
@@ -99,10 +99,11 @@
 	accounts []*account
 }
 
-// avoided is a lender that failed.
+// avoided is a lender that failed, until a probe or a call is answered.
 type avoided struct {
-	until Reading
-	time  time.Duration
+	until   Reading // of the next probe
+	time    time.Duration
+	probing bool // a probe is in flight
 }
 
 // account is the state of a workspace.
@@ -198,9 +199,7 @@
 		if !ok || usable {
 			continue
 		}
-		a := l.avoid[id]
-		usable = a == nil || longest(a.until, now) >= 0
-		if usable || !found {
+		if usable = l.avoid[id] == nil; usable || !found {
 			best, found = id, true
 		}
 	}
@@ -513,7 +512,7 @@
 	l.failures++
 	l.retryAt = now
 	if l.failures > 1 {
-		l.fail(now)
+		l.fail(now, l.lender)
 		b.choose(now, l)
 	}
 	if l.failures > 1 {
@@ -533,15 +532,50 @@
 	}
 }
 
-// fail records that the lender does not answer.
-func (l *link) fail(now Reading) {
-	a := l.avoid[l.lender]
+// Probe returns a request without asks to a granter of the region's order that failed, once its pause is over. The granter
+// is called again only after an answer, so that no request waits for it in vain. ok is false if no probe is due.
+func (b *Borrower) Probe(now Reading, region string) (to peer.InstanceID, r *peerpb.RateRequest, ok bool) {
+	l := b.links[region]
+	if l == nil || len(l.accounts) == 0 {
+		return "", nil, false
+	}
+	for _, name := range l.order {
+		id, known := b.granters[name]
+		a := l.avoid[id]
+		if !known || a == nil || id == l.lender || a.probing || longest(a.until, now) < 0 {
+			continue
+		}
+		a.probing = true
+		b.seq++
+		return id, &peerpb.RateRequest{Seq: b.seq, Region: region}, true
+	}
+	return "", nil, false
+}
+
+// Probed records whether a lender has answered a probe.
+func (b *Borrower) Probed(now Reading, region string, to peer.InstanceID, answered bool) {
+	l := b.links[region]
+	a := l.avoid[to]
+	switch {
+	case a == nil: // answered a call meanwhile
+	case answered:
+		delete(l.avoid, to)
+		b.choose(now, l)
+	default:
+		a.probing = false
+		l.fail(now, to)
+	}
+}
+
+// fail records that a lender does not answer.
+func (l *link) fail(now Reading, lender peer.InstanceID) {
+	a := l.avoid[lender]
 	if a == nil {
 		if len(l.avoid) >= 4*len(l.order) {
 			clear(l.avoid) // of lenders that are gone
 		}
 		a = &avoided{time: avoidTime / 2}
-		l.avoid[l.lender] = a
+		l.avoid[lender] = a
 	}
 	a.time = min(2*a.time, maxAvoidTime)
 	a.until = now.Add(a.time)
--- a/pkg/rate/rules.go
+++ b/pkg/rate/rules.go
@@ -50,8 +50,8 @@
 	soonTime = 5 * time.Millisecond
 	// longestWait bounds the stated time until a token is expected.
 	longestWait = 5 * time.Second
-	// avoidTime is the time for which a lender that failed is not called while there is another. It doubles with each
-	// failure in succession, up to maxAvoidTime.
+	// avoidTime is the time until a lender that failed is probed while there is another. It doubles with each failure in
+	// succession, up to maxAvoidTime.
 	avoidTime    = 5 * time.Second
 	maxAvoidTime = time.Minute
 	// moveSpread is the time over which the borrowers move to a preferred lender, so that both have enough shares.
--- a/pkg/rate/service.go
+++ b/pkg/rate/service.go
@@ -331,6 +331,9 @@
 	defer s.mu.Unlock()
 	next := never
 	for _, region := range s.cfg.Regions {
+		if to, request, ok := s.borrower.Probe(s.clock(), region); ok {
+			go s.probe(ctx, region, to, request)
+		}
 		d := s.borrower.Due(s.clock(), region)
 		if d > 0 {
 			next = min(next, d)
@@ -363,6 +366,14 @@
 	}
 }
 
+// probe sends a request to a lender that failed and records whether it answers.
+func (s *Service) probe(ctx context.Context, region string, to peer.InstanceID, request *peerpb.RateRequest) {
+	reply, err := s.send(ctx, to, request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.borrower.Probed(s.clock(), region, to, err == nil && reply.Lending)
+}
+
 func (s *Service) send(ctx context.Context, to peer.InstanceID, request *peerpb.RateRequest) (*peerpb.RateReply, error) {
 	if s.cfg.Transport == nil || to == s.cfg.Transport.Self() {
 		return s.lend(to, request)
--- a/pkg/rate/service_test.go
+++ b/pkg/rate/service_test.go
@@ -130,9 +130,13 @@
 	})
 }
 
-// Guards against an interruption by the death of a lender that lasts until the region has another granter, and against
-// refusals without a time to return.
+// Guards against an interruption by the death of a lender that lasts until the region has another granter, against
+// refusals without a time to return, and against borrowers that return to the dead lender while it is still named as the granter.
 func TestAnotherLenderAfterADeath(t *testing.T) {
+	const (
+		length  = 60 * time.Second
+		settled = standingTime + time.Second
+	)
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -141,26 +145,59 @@
 		limit := Limit{"w", 50, 100}
 		f := startFleet(ctx, 8, []Limit{limit})
 		time.Sleep(20 * time.Second)
-		dead := f.granters[Region("w", []string{"north", "south"})]
+		region := Region("w", []string{"north", "south"})
+		dead := f.granters[region]
 		f.net.Crash(dead)
 		refused, last := 0, time.Duration(0)
 		start := time.Now()
-		for i := range 300 { // 30 a second
+		for i := range int(length.Seconds()) * 30 { // 30 a second
 			time.Sleep(time.Second / 30)
 			if _, after, ok := f.services[2+i%6].Admit(ctx, limit, false); !ok {
 				is.True(after > 0)
 				refused++
 				last = time.Since(start)
 			}
+			for _, s := range f.services[2:] {
+				s.mu.Lock()
+				id, ok := s.borrower.Lender(region)
+				s.mu.Unlock()
+				is.True(ok)
+				is.True(id != dead || time.Since(start) < settled)
+			}
 		}
 		t.Logf("%d refused, the last one %v after the death", refused, last)
-		is.True(last < standingTime+time.Second)
-		s := f.services[2]
-		s.mu.Lock()
-		id, ok := s.borrower.Lender(Region("w", []string{"north", "south"}))
-		s.mu.Unlock()
-		t.Logf("lender known: %v, the dead one: %v", ok, id == dead)
-		is.True(ok && id != dead)
+		is.True(last < settled)
+	})
+}
+
+// Guards against a preferred lender that is not called again after a failure, although it answers.
+func TestLenderThatReturnsIsPreferredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer time.Sleep(time.Minute) // calls end
+		defer cancel()
+		limit := Limit{"w", 50, 100}
+		f := startFleet(ctx, 8, []Limit{limit})
+		time.Sleep(20 * time.Second)
+		region := Region("w", []string{"north", "south"})
+		preferred := f.granters[region]
+		lenders := func() (same int) {
+			for _, s := range f.services[2:] {
+				s.mu.Lock()
+				if id, _ := s.borrower.Lender(region); id == preferred {
+					same++
+				}
+				s.mu.Unlock()
+			}
+			return same
+		}
+		f.net.Pause(preferred)
+		time.Sleep(8 * time.Second)
+		is.Equal(lenders(), 0)
+		f.net.Resume(preferred)
+		time.Sleep(2*avoidTime + moveSpread + standingTime + time.Second)
+		is.Equal(lenders(), 6)
 	})
 }
 
--- a/pkg/rate/sim_test.go
+++ b/pkg/rate/sim_test.go
@@ -307,6 +307,11 @@
 // poke makes the calls that are due.
 func (n *simNode) poke() {
 	for _, region := range n.s.regions {
+		if to, request, ok := n.borrower.Probe(n.clock(), region); ok {
+			n.send(to, request, func(reply *peerpb.RateReply) {
+				n.borrower.Probed(n.clock(), region, to, reply != nil && reply.Lending)
+			})
+		}
 		d := n.borrower.Due(n.clock(), region)
 		if d <= 0 {
 			n.call(region)
@@ -319,24 +324,30 @@
 	}
 }
 
-// call sends a request; the reply or the end of its time is a later event.
+// call makes the call that is due.
 func (n *simNode) call(region string) {
-	s := n.s
 	to, request := n.borrower.Compose(n.clock(), region)
+	n.send(to, request, func(reply *peerpb.RateReply) {
+		if reply == nil {
+			n.borrower.Failed(n.clock(), region)
+		} else {
+			n.borrower.Apply(n.clock(), region, reply)
+		}
+		n.poke()
+	})
+}
+
+// send sends a request; the reply, or nil at the end of its time, is a later event.
+func (n *simNode) send(to peer.InstanceID, request *peerpb.RateRequest, ended func(*peerpb.RateReply)) {
+	s := n.s
 	request = proto.Clone(request).(*peerpb.RateRequest)
 	done := false
 	finish := func(reply *peerpb.RateReply) {
 		n.do(func() {
-			if done {
-				return
-			}
-			done = true
-			if reply == nil {
-				n.borrower.Failed(n.clock(), region)
-			} else {
-				n.borrower.Apply(n.clock(), region, reply)
+			if !done {
+				done = true
+				ended(reply)
 			}
-			n.poke()
 		})
 	}
 	lender := s.byID[to]
