quarantine: count the answers in a report towards its length

An instance that starts could learn of none of the refusals in force: a report with more than 512 losses, the answers before them and the refusals was longer than its receiver reads, which drops the rest.

Change: the refusals take the room that the other items leave.

--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -516,10 +516,10 @@
 	for _, p := range positions {
 		report.Items = append(report.Items, newItem(now, s.outbox.at(p)))
 	}
-	refusals := c.refusals && len(positions) < maxItems
+	refusals := c.refusals && len(report.Items) < maxItems
 	if refusals {
 		c.refusals = false
-		for _, e := range s.refusalsFor(now, to, homes, maxItems-len(positions)) {
+		for _, e := range s.refusalsFor(now, to, homes, maxItems-len(report.Items)) {
 			report.Items = append(report.Items, newItem(now, e))
 		}
 	}
