quarantine: an answer that is repeated keeps its event

A request that crashes upstreams was admitted again although three losses were known: an answer that another instance repeated cleared the losses after it and ended the refusal.

Cause: a repeated answer had no event ID, and its time is its arrival less its age, later by the latency of each report. The instance that had recorded the answer took it for a later one.

Change: the record keeps the ID of the event with the latest answer, which is repeated with it and known to those that have it.

--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -240,7 +240,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.table.Known(f) && s.table.RecordSuccess(now, f, now, home) {
-		s.enqueue(now, event{f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
+		id := rand.Uint64() | 1
+		s.table.records[f].clearedBy = id
+		s.enqueue(now, event{id: id, f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
 		s.update()
 	}
 }
@@ -392,7 +394,11 @@
 func (s *Service) take(now time.Time, e event) (news bool) {
 	switch {
 	case e.cleared:
-		return s.table.RecordSuccess(now, e.f, e.loss.At, e.homeRegions)
+		news = s.table.RecordSuccess(now, e.f, e.loss.At, e.homeRegions)
+		if r := s.table.records[e.f]; r != nil && r.clearedAt.Equal(e.loss.At) {
+			r.clearedBy = e.id
+		}
+		return news
 	case !e.refusedUntil.IsZero():
 		if news = s.table.RecordRefusal(now, e.f, e.refusedUntil.Sub(now), e.homeRegions); news {
 			s.Log.Info("request refused, as another instance reported", "fingerprint", e.f.Short(), "instance", e.from)
@@ -574,7 +580,7 @@
 		}
 		seen[e.f] = true
 		if age(now, r.clearedAt) < repeatTime {
-			items = append(items, newItem(now, event{f: e.f, loss: Loss{At: r.clearedAt}, cleared: true, homeRegions: r.homeRegions}))
+			items = append(items, newItem(now, event{id: r.clearedBy, f: e.f, loss: Loss{At: r.clearedAt}, cleared: true, homeRegions: r.homeRegions}))
 		}
 	}
 	return items
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -37,6 +37,7 @@
 	losses       []Loss    // sorted by time, oldest first
 	droppedAt    time.Time // of the latest loss that had no room: a loss that was dropped is no news when it comes again
 	clearedAt    time.Time
+	clearedBy    uint64 // the ID of the event with that answer
 	refusedAt    time.Time
 	refusedUntil time.Time
 	refusals     int
