callers: do not keep the buffer of the last read

Effect: a connection that lingers could hold the header section of its last request in memory for up to 5 s after the memory budget had it back. By reading, the connections that linger today are not affected, since their last read was into the buffer of a bufio.Reader.

Cause: Conn kept the destination of its last read. net/http reads a byte in the background while a handler runs, into an array inside its connReader. That refers to the connection of net/http, and this to the request that it served last.

--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -4,9 +4,11 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
+	"weak"
 
 	"github.com/matryer/is"
 )
@@ -182,3 +184,33 @@
 		is.NoErr(conn.Close())
 	})
 }
+
+// Guards against a lingering connection that keeps its last request in memory: the buffer of a background read of net/http is
+// part of the object that holds the request.
+func TestLingeringConnectionKeepsNoReadBuffer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	defer client.Close()
+	s, _ := testSections(1 << 20)
+	closed := make(chan Closing, 1)
+	own := &Listener{Listener: l, Guard: NewGuard(1, func(string) {}), Sections: s, OnClosing: func(c Closing) { closed <- c }}
+	accepted, err := own.Accept()
+	is.NoErr(err)
+	c := accepted.(*Conn)
+	_, err = io.WriteString(client, "x")
+	is.NoErr(err)
+	buf := new([512]byte)
+	_, err = c.Read(buf[:])
+	is.NoErr(err)
+	read := weak.Make(buf)
+	is.NoErr(respond(c))
+	is.NoErr(c.Close())
+	runtime.GC()
+	is.True(read.Value() == nil)
+	is.Equal(len(closed), 0) // it lingers still
+	runtime.KeepAlive(c)
+}
--- a/internal/callers/retire.go
+++ b/internal/callers/retire.go
@@ -27,7 +27,9 @@
 		return n, err
 	}
 	c.dst = p
-	if waitErr := c.raw.Read(c.readNow); waitErr != nil {
+	waitErr := c.raw.Read(c.readNow)
+	c.dst = nil // a background read of net/http passes a part of the object that holds the request
+	if waitErr != nil {
 		c.endRead(0, nil)
 		return 0, readError(waitErr)
 	}
