callers: linger if the caller has sent further requests

What callers saw: a caller that sends further requests after one with which its connection ends (it asks for the close, or is refused with one) got its response and then a reset, which can destroy the response on its way (RFC 9112, section 9.6).

Cause: a connection lingered only if the request was not read to its end. Further requests are unread bytes as well, with which the system resets a connection that is closed.

Change: a connection lingers, too, if net/http has read a byte after the request, which it does while the handler runs, or if unread bytes have arrived at the socket. The bounds stay: 5 s, 1 s without bytes, 16 MiB, a buffer of 4 KiB, and the first place to be given to a new connection.

--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -3,11 +3,14 @@
 import (
 	"net"
 	"time"
+
+	"github.com/turmericsail/turmericsail/internal/socket"
 )
 
 // The system resets a connection that is closed with unread bytes, or to which bytes still arrive, and the reset can destroy
 // a response that the caller has not read yet (RFC 9112, section 9.6). After a response that did not wait for the whole
-// request, a connection is therefore half-closed, and closed when the caller has closed its side or a bound is reached.
+// request, or if the caller has sent further requests, a connection is therefore half-closed, and closed when the caller has
+// closed its side or a bound is reached.
 const (
 	// lingerTime bounds how long input is discarded before a connection is closed.
 	lingerTime = 5 * time.Second
@@ -43,11 +46,16 @@
 }
 
 // lingers reports whether the connection must linger when net/http closes it: its last response is complete, one of a
-// handler or of net/http itself, and the caller may still be sending the request.
+// handler or of net/http itself, and the caller may still be sending the request or has sent further ones.
 func (c *Conn) lingers() bool {
-	return c.phase == PhaseActive && !c.multiplexed() && !c.responding && c.unread && c.written && !c.broken && c.reason == ""
+	return c.phase == PhaseActive && !c.multiplexed() && !c.responding && c.written && !c.broken && c.reason == "" &&
+		(c.unread || c.hasFurtherInput())
 }
 
+// hasFurtherInput reports whether bytes have arrived after a request that was read to its end. net/http reads the first of
+// them while the handler runs.
+func (c *Conn) hasFurtherInput() bool { return c.delivered || socket.HasUnread(c.raw) }
+
 // linger half-closes the connection and discards its input, after which it is closed. It reports false if that is not
 // possible.
 func (c *Conn) linger() bool {
--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -72,6 +72,13 @@
 			c.FinishResponse(false, true)
 			return write(c)
 		}, false},
+		{"further request", func(c *Conn, client net.Conn) error {
+			c.Enter(PhaseActive)
+			c.StartResponse()
+			err := feed(c, client, "G")
+			c.FinishResponse(false, true)
+			return errors.Join(err, write(c))
+		}, true},
 		{"response aborted", func(c *Conn, _ net.Conn) error { c.Enter(PhaseActive); c.StartResponse(); return write(c) }, false},
 		{"no response", func(c *Conn, _ net.Conn) error { c.Enter(PhaseActive); return nil }, false},
 		{"idle", func(c *Conn, _ net.Conn) error {
--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -101,6 +101,11 @@
 		}
 		body = ""
 	}
+	return finish(c, tcp, body)
+}
+
+// finish reads the response, sends the rest slowly after it, and ends the connection as send does.
+func finish(c net.Conn, tcp *net.TCPConn, rest string) (status int, err error) {
 	r := bufio.NewReader(c)
 	resp, err := http.ReadResponse(r, nil)
 	if err == nil && resp.ContentLength >= 0 {
@@ -109,12 +114,12 @@
 	if err != nil {
 		return 0, fmt.Errorf("reading the response: %w", err)
 	}
-	for piece := len(body)/slowPieces + 1; body != ""; time.Sleep(slowPause) {
-		n := min(piece, len(body))
-		if _, err := io.WriteString(c, body[:n]); err != nil {
-			return resp.StatusCode, fmt.Errorf("sending the body after the response: %w", err)
+	for piece := len(rest)/slowPieces + 1; rest != ""; time.Sleep(slowPause) {
+		n := min(piece, len(rest))
+		if _, err := io.WriteString(c, rest[:n]); err != nil {
+			return resp.StatusCode, fmt.Errorf("sending the rest after the response: %w", err)
 		}
-		body = body[n:]
+		rest = rest[n:]
 	}
 	return resp.StatusCode, endOf(r, tcp)
 }
@@ -291,29 +296,34 @@
 			return err
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			is := is.New(t)
-			h := newHarness(t, testRoute(), nil)
-			c, err := net.Dial("tcp", h.addr)
-			is.NoErr(err)
-			defer c.Close()
-			_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: x\r\n%s: soon\r\nContent-Length: 200000\r\n\r\n", HeaderDeadline)
-			is.NoErr(err)
-			end := time.Now().Add(bound)
-			is.NoErr(c.SetDeadline(end))
-			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-			is.NoErr(err)
-			is.Equal(resp.StatusCode, 400)
-			for h.entry.CallerUse().Connections > 0 {
-				if err = sends(c); errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-					err = nil
+		for kind, request := range map[string]string{
+			"body":             "POST / HTTP/1.1\r\nHost: x\r\n" + HeaderDeadline + ": soon\r\nContent-Length: 200000\r\n\r\n",
+			"further requests": strings.Repeat(refusedRequest, 200),
+		} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				h := newHarness(t, testRoute(), nil)
+				c, err := net.Dial("tcp", h.addr)
+				is.NoErr(err)
+				defer c.Close()
+				_, err = io.WriteString(c, request)
+				is.NoErr(err)
+				end := time.Now().Add(bound)
+				is.NoErr(c.SetDeadline(end))
+				resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, 400)
+				for h.entry.CallerUse().Connections > 0 {
+					if err = sends(c); errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+						err = nil
+					}
+					is.NoErr(err) // the entry must close the connection within the bound
+					is.True(time.Now().Before(end))
 				}
-				is.NoErr(err) // the entry must close the connection within the bound
-				is.True(time.Now().Before(end))
-			}
-			is.Equal(h.entry.CallerUse().MemoryBytes, int64(0))
-		})
+				is.Equal(h.entry.CallerUse().MemoryBytes, int64(0))
+			})
+		}
 	}
 }
 
@@ -341,6 +351,81 @@
 	}
 }
 
+// Guards against a reset while a caller still sends further requests after the last response, and over TLS.
+func TestPipelinedRequestsThatStillArriveAreNotFollowedByAReset(t *testing.T) {
+	files := tlstest.Files(t, "entry")
+	files.CA = "" // with a CA, callers would need certificates
+	for _, secure := range []bool{false, true} {
+		t.Run(fmt.Sprintf("TLS %t", secure), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, testRoute(), nil, withSettings(func(s *settings.Settings) {
+				if secure {
+					s.Callers.Plaintext, s.Callers.TLS = false, &files
+				}
+			}))
+			further := strings.Repeat(refusedRequest, 200)
+			for _, rest := range []string{"", further} {
+				for range 10 {
+					c := dialCaller(t, h.addr).Conn
+					tcp := c.(*net.TCPConn)
+					if secure {
+						// The connection lingers if some of the requests have arrived, which one record does as a whole.
+						c = tls.Client(c, &tls.Config{InsecureSkipVerify: true, DynamicRecordSizingDisabled: true})
+					}
+					_, err := io.WriteString(c, refusedRequest+further)
+					is.NoErr(err)
+					status, err := finish(c, tcp, rest)
+					is.NoErr(err)
+					is.Equal(status, 400)
+				}
+			}
+		})
+	}
+}
+
+// refusedRequest is a request that is refused and asks for the connection to be closed.
+const refusedRequest = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n" + HeaderDeadline + ": soon\r\n\r\n"
+
+// Guards against a connection that lingers although its caller has sent nothing after its last request.
+func TestConnectionWithoutFurtherInputIsClosedAtOnce(t *testing.T) {
+	files := tlstest.Files(t, "entry")
+	files.CA = "" // with a CA, callers would need certificates
+	for _, secure := range []bool{false, true} {
+		for name, rest := range map[string]string{
+			"no body": "\r\n", "body": "Content-Length: 5\r\n\r\nhello", "chunked body": "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		} {
+			t.Run(fmt.Sprintf("%s, TLS %t", name, secure), func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+				}))}, withSettings(func(s *settings.Settings) {
+					if secure {
+						s.Callers.Plaintext, s.Callers.TLS = false, &files
+					}
+				}))
+				shortest := time.Minute
+				for range 3 { // a delay of this process must not look like lingering
+					c := dialCaller(t, h.addr).Conn
+					if secure {
+						c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+					}
+					_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"+rest)
+					is.NoErr(err)
+					answer, err := io.ReadAll(c)
+					is.NoErr(err)
+					is.True(strings.HasPrefix(string(answer), "HTTP/1.1 200"))
+					start := time.Now()
+					for h.entry.CallerUse().Connections > 0 {
+						time.Sleep(time.Millisecond)
+					}
+					shortest = min(shortest, time.Since(start))
+				}
+				is.True(shortest < lingerMargin)
+			})
+		}
+	}
+}
+
 // Guards against a shutdown that cuts off callers which still send bodies after their responses, and against one that
 // outlasts its limit because of them.
 func TestShutdownWaitsForLingeringConnections(t *testing.T) {
