sampled: probe again when no probe of a request was answered

Callers got 503 "overloaded" although upstreams had room. The request may wait for headroom for 0.2 of the target, 80 ms at a target of 400 ms, and a probe times out after 67 ms. So one stall of the instance in which all probes timed out used up the wait, and the request was refused on no reading at all, with most of its deadline left. An instance on which probes take longer than the timeout refused every request.

A request all of whose probes failed, at least one by a timeout, now probes again with a doubled timeout, up to four times the first one. It is refused as before when an upstream answered, when all connections were refused, when the latest answers showed a crowded pool, when no time would be left to run it, and when no probe of the pool has been answered for a second. In such a pool one request a second may still wait, so that the instance serves again. Second copies do not wait.

--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -40,6 +40,8 @@
 	cost      time.Duration
 	reading   Reading
 	probed    bool
+	failed    bool // the probe failed
+	timedOut  bool // the probe timed out
 	mayBeCold bool // gets one request at a time
 	excluded  bool // the probe failed, the request yields the last slot, or the upstream is cold and has other or recent requests
 	inSubset  bool // belongs to the instance's subset of the pool
@@ -153,6 +155,9 @@
 	pool     *pressure
 	flooding bool // the request's workspace asks for more than its share
 	sawFull  bool // a probe for this request found an upstream without headroom
+
+	unansweredRounds int       // rounds after which an answer was awaited
+	waitUntil        time.Time // until when an answer is awaited; zero before the first unanswered round
 }
 
 // best returns the usable candidate with the lowest cost, or nil. Of two with the same cost, it is the one with headroom.
@@ -223,6 +228,8 @@
 	mu        sync.Mutex
 	share     float64
 	fullShare float64 // of the latest readings
+
+	silence silence
 }
 
 const (
--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -22,7 +22,7 @@
 	probeTimeoutShare = 1.0 / 6
 	// minProbeTimeout is the shortest probe timeout.
 	minProbeTimeout = 60 * time.Millisecond
-	// maxProbeTimeout is the longest probe timeout, not counting remoteProbeExtra.
+	// maxProbeTimeout is the longest probe timeout, not counting remoteProbeExtra and the doublings after unanswered rounds.
 	maxProbeTimeout = 150 * time.Millisecond
 	// remoteProbeExtra is added to the probe timeout if the group has upstreams in other regions.
 	remoteProbeExtra = 60 * time.Millisecond
@@ -168,6 +168,8 @@
 					"slots", b.reading.Slots, "slowdown", b.reading.Slowdown, "suspicion", b.suspicion, "cost", b.cost.String())
 				return c, nil
 			}
+		case !r.Urgent && unanswered(list) && ch.awaitAnswer(time.Now(), slices.ContainsFunc(list, (*candidate).remote)):
+			p.log.V(1).Info("no probe answered", "request", r.ID, "pool", r.Pool.Name, "candidates", len(list), "waited", time.Since(r.Start).String())
 		case v == refuse || r.Urgent:
 			p.meter.refused(r)
 			p.logRefused(r, ch, list, b, rounds)
@@ -226,10 +228,7 @@
 // probeGroup probes a group concurrently and returns the first candidate that is
 // accepted early, or nil once all probes have completed or timed out.
 func (p *Policy) probeGroup(ctx context.Context, ch *chooser, r Request, group []*candidate) *candidate {
-	timeout := min(max(time.Duration(probeTimeoutShare*float64(ch.target)), minProbeTimeout), maxProbeTimeout)
-	if slices.ContainsFunc(group, (*candidate).remote) {
-		timeout += remoteProbeExtra
-	}
+	timeout := probeTimeout(ch.target, slices.ContainsFunc(group, (*candidate).remote), ch.unansweredRounds)
 	// The probes continue after an early choice, so that their connections can be reused.
 	probeCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	type answer struct {
@@ -266,13 +265,15 @@
 	c.probed = true
 	if err != nil || r.Upstream != "" && r.Upstream != c.upstream.ID {
 		c.excluded = true
+		c.failed, c.timedOut = true, errors.Is(err, context.DeadlineExceeded)
 		weight := 1.0
-		if errors.Is(err, context.DeadlineExceeded) {
+		if c.timedOut {
 			weight = timeoutWeight
 		}
 		p.suspects.recordFailure(c.upstream.ID, weight, time.Now())
 		return
 	}
+	ch.pool.silence.end()
 	p.readings.record(c.upstream.ID, r, c.pending)
 	ch.pool.observe(!hasHeadroom(r))
 	ch.sawFull = ch.sawFull || !hasHeadroom(r)
