sampled: do not suspect upstreams because of repeated unanswered probes

A request that probes again after an unanswered round added suspicion to all upstreams with each round, so that one stall made all of them suspects for seconds. Only the first round counts now; all upstreams timing out again tells nothing about one of them. Probes that fail in another way count as before.

The test failed before: all upstreams of a pool were suspects after a stall of 700 ms.

--- a/pkg/placement/sampled/policy.go
+++ b/pkg/placement/sampled/policy.go
@@ -266,11 +266,12 @@
 	if err != nil || r.Upstream != "" && r.Upstream != c.upstream.ID {
 		c.excluded = true
 		c.failed, c.timedOut = true, errors.Is(err, context.DeadlineExceeded)
-		weight := 1.0
-		if c.timedOut {
-			weight = timeoutWeight
+		switch {
+		case !c.timedOut:
+			p.suspects.recordFailure(c.upstream.ID, 1, time.Now())
+		case ch.unansweredRounds == 0: // repeated timeouts of all upstreams are no evidence against any of them
+			p.suspects.recordFailure(c.upstream.ID, timeoutWeight, time.Now())
 		}
-		p.suspects.recordFailure(c.upstream.ID, weight, time.Now())
 		return
 	}
 	ch.pool.silence.end()
--- a/pkg/placement/sampled/silence_test.go
+++ b/pkg/placement/sampled/silence_test.go
@@ -173,3 +173,20 @@
 		is.True(!t.Failed())
 	})
 }
+
+// Guards against upstreams that count as failing for seconds because one request repeated its unanswered probes.
+func TestRepeatedProbesDoNotRaiseSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newSimWorld(4, 0)
+		stallEnd := time.Now().Add(700 * time.Millisecond)
+		p := New(Location{Region: "north", FailureDomain: "north-0"}, proberFunc(func(ctx context.Context, u table.Upstream) (Reading, error) {
+			return answerAfter(ctx, u, time.Until(stallEnd))
+		}), nil, logr.Discard())
+		_, err := chooseWith(p, w, 3*time.Second, false)
+		is.NoErr(err)
+		for id := range w.servers {
+			is.True(p.suspects.level(id, time.Now()) <= suspicionThreshold)
+		}
+	})
+}
