sampled: compare the time left with the time that the upstream needs

Callers got 503 "overloaded" from idle upstreams: a request that had waited long enough was given to the best one only if its cost was below the time left, and the cost of a suspect includes a penalty of twice the target. With a target of 400 ms, a suspect was refused requests in their last 950 ms although it needs 150 ms. The penalty still ranks upstreams, and still makes a request look for a better one first.

--- a/pkg/placement/sampled/choose.go
+++ b/pkg/placement/sampled/choose.go
@@ -200,7 +200,8 @@
 	if elapsed < ch.maxWait() && elapsed+work < time.Duration(targetBudgetShare*float64(ch.target)) {
 		return probeAgain
 	}
-	if headroom && b.cost < left {
+	// The penalty for earlier failures ranks upstreams; it is not time that the request needs.
+	if headroom && estimate(b.reading, b.distance, 0, ch.target) < left {
 		return accept
 	}
 	return refuse
