intake: let the limit of an upstream bind the first requests of other instances

An upstream that names a request limit got more: each instance learned the limit only from the response to its own first request, for which it needed no grant.

The granter of a region now keeps the limits that it knows in the store, and all instances take over those that are new there. Such a limit is the weakest claim: what the instance hears itself or from the granter replaces it, so that a record that has become stale costs an upstream the wait for one grant.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,7 @@
 	}{
 		{PeerTransport, &peerService{cfg: cfg, log: log.WithName(PeerTransport)}},
 		{ControlFollow, &followService{cfg: cfg, log: log.WithName(ControlFollow)}},
-		{EntryIntake, &intakeService{log: log.WithName(EntryIntake)}},
+		{EntryIntake, &intakeService{region: cfg.Region, log: log.WithName(EntryIntake)}},
 		{EntryQuarantine, &quarantineService{cfg: cfg, log: log.WithName(EntryQuarantine)}},
 		{EntryRollout, &rolloutService{cfg: cfg, log: log.WithName(EntryRollout)}},
 		{EntryRates, &ratesService{cfg: cfg, bounds: bounds, log: log.WithName(EntryRates)}},
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -106,7 +106,9 @@
 // intakeService keeps the request limits that upstreams state.
 type intakeService struct {
 	*intake.Service
-	log logr.Logger
+	region string
+	log    logr.Logger
+	limits *requestLimits // nil for an instance that is alone
 }
 
 var (
@@ -130,6 +132,7 @@
 		return nil
 	}
 	s.Service = intake.NewService(p.TCPTransport, followed.Follower, s.log)
+	s.limits = &requestLimits{service: s.Service, store: followed.Follower, region: s.region}
 	return nil
 }
 
--- a/pkg/intake/granter.go
+++ b/pkg/intake/granter.go
@@ -54,6 +54,19 @@
 	return false, time.Duration((1 - b.tokens) / b.rate() * float64(time.Second)), b.Statement
 }
 
+// Limits returns the requests per second of the limited upstreams that were asked for or reported within idleTime.
+func (g *Granter) Limits(now time.Time) map[string]float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	limits := map[string]float64{}
+	for upstream, b := range g.buckets {
+		if !b.Unlimited && now.Sub(b.updated) <= idleTime {
+			limits[upstream] = b.PerSecond
+		}
+	}
+	return limits
+}
+
 // update brings the bucket of an upstream up to date. A new bucket is empty: an earlier granter may have just used
 // its last token.
 func (g *Granter) update(upstream string, s Statement, now time.Time) *bucket {
--- a/pkg/intake/granter_test.go
+++ b/pkg/intake/granter_test.go
@@ -84,6 +84,38 @@
 	is.Equal(table.Count(), 0)
 }
 
+// Guards against a limit heard by another instance that replaces what this one has heard, or that what the granter knows cannot
+// replace.
+func TestLimitsOfOtherInstances(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100_000, 0)
+	table := NewStatements()
+	is.True(!table.Introduce("u", math.NaN(), now))
+	is.True(table.Introduce("u", 2, now))
+	is.True(!table.Introduce("u", 3, now))
+	s, limited := table.Limited("u")
+	is.True(limited)
+	is.Equal(s.PerSecond, 2.0)
+	is.True(table.Hear("u", Statement{PerSecond: 5, HeardAt: now.Add(-time.Minute)}))
+	is.True(!table.Introduce("u", 3, now))
+	is.True(table.Hear("u", Statement{Unlimited: true, HeardAt: now.Add(-time.Second)}))
+	is.True(table.Introduce("u", 3, now)) // stated anew since then
+	is.True(table.Hear("u", Statement{Unlimited: true, HeardAt: now.Add(-time.Second)}))
+	is.Equal(table.Count(), 0)
+}
+
+// Guards against limits of upstreams that have ended, or that nobody uses any more, in what other instances are told.
+func TestLimitsThatTheGranterKnows(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	g := NewGranter()
+	g.Report("limited", Statement{PerSecond: 2, HeardAt: now}, now)
+	g.Report("ended", Statement{PerSecond: 2, HeardAt: now}, now)
+	g.Report("ended", Statement{Unlimited: true, HeardAt: now.Add(time.Second)}, now.Add(time.Second))
+	is.Equal(g.Limits(now.Add(idleTime)), map[string]float64{"limited": 2})
+	is.Equal(g.Limits(now.Add(idleTime+time.Second)), map[string]float64{})
+}
+
 // Guards against a pause that ends early or never, and against one that a shorter statement ends.
 func TestPausesOfUpstreams(t *testing.T) {
 	is := is.New(t)
--- a/pkg/intake/service.go
+++ b/pkg/intake/service.go
@@ -82,6 +82,24 @@
 	}()
 }
 
+// Limits returns the requests per second of the limited upstreams of the own region, or false unless this instance grants
+// for them.
+func (s *Service) Limits(now time.Time) (map[string]float64, bool) {
+	if !s.roles.MayGrant(now) {
+		return nil, false
+	}
+	return s.granter.Limits(now), true
+}
+
+// Introduce records limits that other instances have heard, so that the first request of this instance needs a grant, too.
+func (s *Service) Introduce(limits map[string]float64, now time.Time) {
+	for upstream, perSecond := range limits {
+		if s.statements.Introduce(upstream, perSecond, now) {
+			s.log.Info("request limit learned", "upstream", upstream, "per_second", perSecond, "unlimited", false)
+		}
+	}
+}
+
 // Leave records that an upstream leaves.
 func (s *Service) Leave(upstream string) {
 	if s.statements.Leave(upstream, time.Now()) {
--- a/pkg/intake/statements.go
+++ b/pkg/intake/statements.go
@@ -92,6 +92,24 @@
 	return changed
 }
 
+// Introduce records a limit that another instance has heard, of an upstream that is not known to have one, and reports whether it
+// did. Every other statement replaces it: the granter knows the latest one.
+func (t *Statements) Introduce(upstream string, perSecond float64, now time.Time) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := Statement{PerSecond: perSecond, HeardAt: now.Add(-oldestAge)}
+	known := t.list[upstream]
+	if !s.Valid() || known != nil && !known.Unlimited {
+		return false
+	}
+	if known == nil && len(t.list) >= maxUpstreams {
+		forgetIdle(t.list, now, func(s *stated) time.Time { return s.usedAt })
+	}
+	t.list[upstream] = &stated{Statement: s, usedAt: now}
+	t.limited.Store(int64(t.count()))
+	return true
+}
+
 // Limited returns the statement of an upstream that limits its requests.
 func (t *Statements) Limited(upstream string) (Statement, bool) {
 	if t.limited.Load() == 0 {
