callers: keep a connection on which a request has arrived that is not read yet

When the limit of connections is reached, a new connection takes the place of one without a request. A request that had arrived in the socket's buffer and not been read yet did not count: its caller got neither an answer nor a refusal, but a reset. On a machine whose processor others use, a reader may run much later than bytes arrive.

The guard now leaves out connections on which bytes have arrived before any byte of a header section was read. An unfinished section does not protect its connection, so that clients that send one without end still lose theirs.

--- a/internal/callers/retire.go
+++ b/internal/callers/retire.go
@@ -84,11 +84,15 @@
 	return &net.OpError{Op: "read", Err: err}
 }
 
-// retire decides that the connection will be closed, unless bytes were delivered to net/http that may be a request. After
-// it, no more bytes are read.
+// retire decides that the connection will be closed, unless bytes were delivered to net/http that may be a request, or have
+// arrived before any of a section was read. After it, no more bytes are read.
 func (c *Conn) retire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// An unfinished section does not keep its connection: clients that send one without end would keep theirs.
+	if c.phase != PhaseClosing && c.size == 0 && socket.HasUnread(c.raw) {
+		return false
+	}
 	return c.retireLocked()
 }
 
--- a/internal/entry/closing_test.go
+++ b/internal/entry/closing_test.go
@@ -31,6 +31,7 @@
 	stalled chan struct{} // receives a value when a reader begins to stand still
 	resume  chan struct{} // closed when readers may go on
 	moved   atomic.Bool   // readers stand still elsewhere
+	unread  atomic.Bool   // readers stand still before they receive the request
 }
 
 // Accept implements net.Listener.
@@ -82,8 +83,14 @@
 	found := false
 	err := r.RawConn.Read(func(fd uintptr) bool {
 		var b [1 << 10]byte
-		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if err == syscall.EAGAIN {
+			return false // read could find what arrives from now on
+		}
 		found = n > 0 && strings.Contains(string(b[:n]), "/stalled")
+		if found && r.c.l.unread.Load() {
+			r.c.stall()
+		}
 		return read(fd)
 	})
 	if found {
@@ -165,7 +172,8 @@
 	return resp.StatusCode
 }
 
-// Guards against closing a connection from which a request has been read that no handler has seen yet.
+// Guards against closing a connection from which a request has been read that no handler has seen yet, or on which one has
+// arrived that has not been read yet.
 func TestRequestThatWasReadIsAnswered(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -173,12 +181,15 @@
 		limits func(*settings.Limits)
 		budget int64
 		parsed bool // the reader stands still after the header section has been parsed
+		unread bool // the reader stands still before it receives the request
 		closes func(t *testing.T, e *Entry, address string)
 	}{
 		{name: "idle timeout", kept: true, limits: func(l *settings.Limits) { l.IdleTimeout = table.Duration(300 * time.Millisecond) },
 			closes: func(*testing.T, *Entry, string) { time.Sleep(600 * time.Millisecond) }},
 		{name: "kept connection replaced", kept: true, limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
 		{name: "new connection replaced", limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
+		{name: "kept connection replaced, unread", kept: true, unread: true, limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
+		{name: "new connection replaced, unread", unread: true, limits: func(l *settings.Limits) { l.Descriptors = 3 }, closes: connectAnother},
 		{name: "memory of header sections", budget: callers.SectionCost(60, 3), parsed: true, closes: func(t *testing.T, e *Entry, address string) {
 			_, _ = io.WriteString(dialCaller(t, address), "GET /other HTTP/1.1"+strings.Repeat("a", 40))
 			time.Sleep(100 * time.Millisecond)
@@ -199,6 +210,7 @@
 				if c.parsed {
 					l.stallWhenParsed(e)
 				}
+				l.unread.Store(c.unread)
 			})
 			address := l.Addr().String()
 			caller := dialCaller(t, address)
