entry: end a connection whose request body is unread after the response

A caller that stopped sending its body after an early response of 2xx kept its connection without a limit: net/http reads up to 256 KiB of the rest after the handler has returned, and removes the read deadline before. A caller that did send the rest lost its connection, too: net/http starts to watch for the caller's leaving at the end of the body, and panics ("invalid concurrent Body.Read call") when it reads the next request meanwhile. Such a connection has never been reused.

It now ends with the response, as after an early error: the sending side is closed, and the rest is discarded within the bounds of a lingering close. net/http reports the connection as idle first, which no longer changes its phase.

The case "idle" of TestOnlyConnectionsWithAResponseAndInputLinger reported a connection with an unread body as idle, and expected no lingering. That is what net/http does here, and must linger: it is a case of its own now, and "idle" has a body that was read.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -273,10 +273,11 @@
 	return c.overBudget && !c.encrypted && bytes.Contains(p, []byte(headerEnd))
 }
 
-// Enter records the phase of the connection. One that is being closed stays so.
+// Enter records the phase of the connection. One that is being closed stays so, and one that has its last response stays active
+// until net/http closes it.
 func (c *Conn) Enter(p Phase) {
 	c.mu.Lock()
-	if c.phase == PhaseClosing {
+	if c.phase == PhaseClosing || c.inputClosed {
 		c.mu.Unlock()
 		return
 	}
--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -81,10 +81,18 @@
 		}, true},
 		{"response aborted", func(c *Conn, _ net.Conn) error { c.Enter(PhaseActive); c.StartResponse(); return write(c) }, false},
 		{"no response", func(c *Conn, _ net.Conn) error { c.Enter(PhaseActive); return nil }, false},
-		{"idle", func(c *Conn, _ net.Conn) error {
+		{"body not read, reported as idle", func(c *Conn, _ net.Conn) error {
 			err := respond(c)
 			c.Enter(PhaseIdle)
 			return err
+		}, true},
+		{"idle", func(c *Conn, _ net.Conn) error {
+			c.Enter(PhaseActive)
+			c.StartResponse()
+			c.FinishResponse(false, false)
+			err := write(c)
+			c.Enter(PhaseIdle)
+			return err
 		}, false},
 		{"ended by the caller", func(c *Conn, client net.Conn) error {
 			c.Enter(PhaseActive)
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -65,16 +65,18 @@
 	return x.r.ContentLength != 0 && (x.body == nil || !x.body.complete())
 }
 
-// finishResponse tells the connection that the response is complete. It keeps net/http from waiting for the rest of a body
-// after a response with which the connection ends; callers.Conn discards it, and a stream of another entry is never reset.
+// finishResponse tells the connection that the response is complete. The connection ends with it if the request has a body that
+// was not read to its end: net/http would wait for the rest without a limit, and panics if it then reads the next request.
+// callers.Conn discards the rest, and a stream of another entry is never reset.
 func (x *exchange) finishResponse() {
 	if x.r.ProtoMajor != 1 {
 		return
 	}
-	unread, last := x.bodyUnread(), x.r.Close || x.w.Header().Get("Connection") == "close"
+	unread := x.bodyUnread()
+	last := unread || x.r.Close || x.w.Header().Get("Connection") == "close"
 	if x.conn != nil {
 		x.conn.FinishResponse(unread, last)
-	} else if unread && last {
+	} else if unread {
 		_ = x.control.SetReadDeadline(time.Now().Add(relayedBodyTime))
 	}
 }
