entry: refuse requests without a response before the process ends

A request at which an upstream was at work when the grace period ended got neither a response nor a refusal: its connection ended with the process. Only requests that still waited for an upstream were refused, 200 ms before the end.

Attempts whose response has not begun are now cancelled 50 ms before the end. Their callers get 502 with the outcome "unknown", since the request may have run; an attempt that was sent is not repeated and does not count as a loss of its upstream. A response that begins before is still delivered.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -27,7 +27,7 @@
 	failDeadline          // the deadline passed
 	failCancelled         // the caller disconnected or another copy won
 	failBody              // reading the request body from the caller failed
-	failLeaving           // the process is about to end, and no byte was written
+	failLeaving           // the process is about to end
 )
 
 // attempt is one attempt to send a request to one upstream.
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -42,6 +42,10 @@
 		return EndCancelled
 	case failLost:
 		return EndLost
+	case failLeaving:
+		if a.sent {
+			return EndCancelled
+		}
 	}
 	return EndNotRun
 }
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -7,55 +7,70 @@
 	"time"
 )
 
-// errLeaving ends the waits of requests that no upstream has when the process is about to end.
+// errLeaving ends requests without a response when the process is about to end.
 var errLeaving = errors.New("the instance ends")
 
-// waitingRequests ends the waits of running requests shortly before the process ends, so that their callers get a refusal.
-type waitingRequests struct {
-	mu    sync.Mutex
-	all   map[*exchange]struct{}
-	ended bool
-	timer *time.Timer
+// endingRequests ends the requests that have no response shortly before the process ends, so that their callers get a refusal:
+// first the waits of those that no upstream has, then those at which an upstream is at work.
+type endingRequests struct {
+	mu          sync.Mutex
+	all         map[*exchange]struct{}
+	ended       bool // the waits
+	waits, runs *time.Timer
 }
 
-// endAt ends the waits at the given time. A later call replaces an earlier one.
-func (w *waitingRequests) endAt(at time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.timer != nil {
-		w.timer.Stop()
+// endAt sets when waits and runs end. A later call replaces an earlier one.
+func (r *endingRequests) endAt(waits, runs time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waits != nil {
+		r.waits.Stop()
+		r.runs.Stop()
 	}
-	w.timer = time.AfterFunc(time.Until(at), w.end)
+	r.waits = time.AfterFunc(time.Until(waits), r.endWaits)
+	r.runs = time.AfterFunc(time.Until(runs), r.endRuns)
 }
 
-func (w *waitingRequests) end() {
-	w.mu.Lock()
-	w.ended = true
-	all := make([]*exchange, 0, len(w.all))
-	for x := range w.all {
-		all = append(all, x)
-	}
-	w.mu.Unlock()
-	for _, x := range all {
+func (r *endingRequests) endWaits() {
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
+	for _, x := range r.registered() {
 		x.endWaits()
 	}
 }
 
+func (r *endingRequests) endRuns() {
+	for _, x := range r.registered() {
+		x.endRuns()
+	}
+}
+
+func (r *endingRequests) registered() []*exchange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]*exchange, 0, len(r.all))
+	for x := range r.all {
+		all = append(all, x)
+	}
+	return all
+}
+
 // add registers a request.
-func (w *waitingRequests) add(x *exchange) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.all == nil {
-		w.all = map[*exchange]struct{}{}
+func (r *endingRequests) add(x *exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.all == nil {
+		r.all = map[*exchange]struct{}{}
 	}
-	w.all[x] = struct{}{}
-	x.ending = w.ended
+	r.all[x] = struct{}{}
+	x.ending = r.ended
 }
 
-func (w *waitingRequests) remove(x *exchange) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.all, x)
+func (r *endingRequests) remove(x *exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.all, x)
 }
 
 // endWaits ends the wait of a request that is not being sent to an upstream.
@@ -76,6 +91,17 @@
 	}
 }
 
+// endRuns cancels the attempts of a request whose response has not begun. Whether it ran is not known then.
+func (x *exchange) endRuns() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.phase != phaseStart {
+		return
+	}
+	x.ending, x.cut = true, true
+	x.cancelLive(errLeaving)
+}
+
 // waitContext returns the context of a wait outside of attempts. cancel must be called before the next one is made.
 func (x *exchange) waitContext() (ctx context.Context, cancel context.CancelFunc) {
 	ctx, end := context.WithDeadline(x.r.Context(), x.deadline)
--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -147,6 +148,49 @@
 	is.Equal(r.body, "served")
 }
 
+// Guards against a request that an upstream has and that ends with the process, without a response or a refusal.
+func TestRunningRequestIsRefusedBeforeTheProcessEnds(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		method string
+		begins time.Duration // before the end of the process
+	}{
+		{"begun before", http.MethodPost, time.Second},
+		{"when waits have ended", http.MethodPost, endMargin / 2},
+		{"that may be repeated", http.MethodGet, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			began, hold := make(chan struct{}, 1), make(chan struct{})
+			t.Cleanup(func() { close(hold) })
+			upstream := newRawUpstream(t, func(_ int64, conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					began <- struct{}{}
+					<-hold
+				}
+			})
+			route := testRoute()
+			route.Retry.MaxAttempts = 3
+			h := newHarness(t, route, []string{upstream.addr})
+			replies := make(chan reply, 1)
+			go func() { replies <- h.do(c.method, "/", nil) }()
+			<-began
+			end := time.Now().Add(c.begins)
+			h.entry.SetEnd(end)
+			select {
+			case r := <-replies:
+				is.NoErr(r.err)
+				is.Equal(r.status, 502)
+				is.Equal(r.outcome(), string(Unknown))
+				is.True(time.Now().After(end.Add(-endMargin))) // it may be answered until then
+			case <-time.After(time.Until(end)):
+				<-replies
+				t.Fatal("the process ends before the request has a response, by", time.Since(end))
+			}
+		})
+	}
+}
+
 func waitRunning(h *harness, n int64) {
 	h.t.Helper()
 	for h.entry.Running() < n {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,7 +72,7 @@
 	endsAt    atomic.Pointer[time.Time] // when the process ends while requests still run; nil if not known
 	running   atomic.Int64
 	relayed   atomic.Int64 // open streams of relayed requests
-	waiting   waitingRequests
+	ending    endingRequests
 }
 
 var (
@@ -236,15 +236,19 @@
 func (e *Entry) SetLeaving() { e.leaving.Store(true) }
 
 // SetEnd sets when the process ends at the latest, whatever still runs. Requests that may last longer are refused
-// from now on, since their callers can still turn to other instances. Those that still wait when the process is about to
-// end are refused then.
+// from now on, since their callers can still turn to other instances. Those that still wait, or whose response has not begun,
+// when the process is about to end are refused then.
 func (e *Entry) SetEnd(at time.Time) {
 	e.endsAt.Store(&at)
-	e.waiting.endAt(at.Add(-endMargin))
+	e.ending.endAt(at.Add(-endMargin), at.Add(-runMargin))
 }
 
-// endMargin is kept between the last response and the end of the process, for the caller to receive it.
-const endMargin = 200 * time.Millisecond
+const (
+	// endMargin is kept between the last response and the end of the process, for the caller to receive it.
+	endMargin = 200 * time.Millisecond
+	// runMargin is kept for the refusals of requests at which an upstream is at work. Their work is lost, so it is shorter.
+	runMargin = 50 * time.Millisecond
+)
 
 // endsBefore reports whether the process may end before the given time.
 func (e *Entry) endsBefore(t time.Time) bool {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -84,6 +84,7 @@
 	phase   phase
 	limit   time.Time          // when the watchdog timer expires in this phase
 	ending  bool               // see endWaits
+	cut     bool               // see endRuns
 	endWait context.CancelFunc // of waitContext; nil if there is no such wait
 
 	headerValues     [maxHeaderValues]string
@@ -135,8 +136,8 @@
 	x.firstTry = reusesConnection(r.Context()) && e.proto.RetryOpensConnection
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	e.waiting.add(x)
-	defer e.waiting.remove(x)
+	e.ending.add(x)
+	defer e.ending.remove(x)
 	defer x.forbid1xx() // a connection to an upstream may outlast the request
 	defer x.releaseMemory()
 	defer x.recoverServe()
@@ -366,11 +367,12 @@
 	x.watchdog.Reset(limit)
 }
 
-// startResponse begins the response of an attempt, or reports false if the deadline has cancelled the attempt before.
+// startResponse begins the response of an attempt, or reports false if the attempt has been cancelled before by the deadline or
+// because the process is about to end.
 func (x *exchange) startResponse(a *attempt) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.expired && !a.whole {
+	if (x.expired || x.cut) && !a.whole {
 		return false
 	}
 	x.watchLocked(phaseReading)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -85,6 +85,9 @@
 		if t != nil {
 			x.settleClaim(t)
 		}
+		if x.isEnding() && !x.pastDeadline() {
+			return x.refuseEnding()
+		}
 		return refuseDeadline()
 	}
 	x.report.upstream = a.upstream.ID
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -23,7 +23,7 @@
 		switch {
 		case a.fail == failNone:
 			return a, nil
-		case (a.fail == failPlacement || a.fail == failLeaving) && last != nil:
+		case (a.fail == failPlacement || a.fail == failLeaving && !a.sent) && last != nil:
 			return x.resolveFailure(last) // the earlier failure is more informative than the lack of another upstream
 		case !x.mayRetry(a, n):
 			return x.resolveFailure(a)
