entry: log the close of idle connections

Operators and the soak could not tell from the log whether a request met the close of an idle connection: the idle timer wrote no line, and its metric names no connection.

Change: "connection of a caller closed" at debug level also reports the reason idle, with the caller's address, the time for which the connection was idle and the limit in force. The line is written after the close, so that it does not lengthen the time between the choice and the close.

--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -68,6 +69,11 @@
 	e.log.V(1).Info("connection of a caller closed", "reason", reason)
 }
 
+// idleClosed logs the close of an idle connection. The caller's address tells which of its requests crossed the close.
+func (e *Entry) idleClosed(c net.Conn, idle, limit time.Duration) {
+	e.log.V(1).Info("connection of a caller closed", "reason", callers.ReasonIdle, "caller", c.RemoteAddr().String(), "idle", idle.String(), "limit", limit.String())
+}
+
 // connectionClosing records a connection that is closed with bytes of a request that got no answer. An unread connection
 // may have had its response; clients decide how often that happens.
 func (e *Entry) connectionClosing(c callers.Closing) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -118,7 +118,7 @@
 		MaxBytes: func() int64 { return int64(e.limits().HeaderBytes) + sectionSlack },
 		Timeout:  func() time.Duration { return e.limits().HeaderTimeout.Std() },
 	}
-	idle := newIdleConns(cfg.Limits.IdleTimeout.Std(), func() time.Duration { return e.limits().IdleTimeout.Std() })
+	idle := newIdleConns(cfg.Limits.IdleTimeout.Std(), func() time.Duration { return e.limits().IdleTimeout.Std() }, e.idleClosed)
 	e.server.ConnState = func(c net.Conn, s http.ConnState) {
 		idle.connState(c, s)
 		enterPhase(c, s)
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -33,8 +33,10 @@
 type idleConns struct {
 	own   time.Duration // the limit of http.Server
 	limit func() time.Duration
-	mu    sync.Mutex
-	idle  map[net.Conn]*idleTimer
+	// closed is called after a connection was closed that had been idle for longer than the limit.
+	closed func(c net.Conn, idle, limit time.Duration)
+	mu     sync.Mutex
+	idle   map[net.Conn]*idleTimer
 }
 
 type idleTimer struct {
@@ -42,8 +44,8 @@
 	since time.Time
 }
 
-func newIdleConns(own time.Duration, limit func() time.Duration) *idleConns {
-	return &idleConns{own: own, limit: limit, idle: map[net.Conn]*idleTimer{}}
+func newIdleConns(own time.Duration, limit func() time.Duration, closed func(c net.Conn, idle, limit time.Duration)) *idleConns {
+	return &idleConns{own: own, limit: limit, closed: closed, idle: map[net.Conn]*idleTimer{}}
 }
 
 // connState starts and stops the idle timer of a connection; it is a ConnState hook of http.Server.
@@ -60,32 +62,34 @@
 	if limit := i.limit(); limit > 0 {
 		t := &idleTimer{since: time.Now()}
 		t.Timer = time.AfterFunc(limit, func() {
-			if i.expired(c, t) {
+			if idle, limit, ok := i.expired(c, t); ok {
 				_ = c.Close() // the connection cannot be used after a failed Close either
+				i.closed(c, idle, limit)
 			}
 		})
 		i.idle[c] = t
 	}
 }
 
-// expired reports whether the connection must be closed now. Otherwise the timer runs on: the limit may have become longer,
-// or a request may be arriving.
-func (i *idleConns) expired(c net.Conn, t *idleTimer) bool {
+// expired reports whether the connection must be closed now, for how long it has been idle, and the limit. Otherwise the timer
+// runs on: the limit may have become longer, or a request may be arriving.
+func (i *idleConns) expired(c net.Conn, t *idleTimer) (idle, limit time.Duration, ok bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	limit := i.limit()
+	limit = i.limit()
 	if i.idle[c] != t || limit <= 0 { // without a limit here, that of http.Server applies
-		return false
+		return 0, limit, false
 	}
-	left := limit - time.Since(t.since)
+	idle = time.Since(t.since)
+	left := limit - idle
 	if left <= 0 {
 		conn := callerConn(c)
 		announced := conn != nil && limit >= i.own && conn.IsHTTP2()
 		if !announced && (conn == nil || conn.RetireIdle()) {
-			return true
+			return idle, limit, true
 		}
 		left = limit
 	}
 	t.Reset(left)
-	return false
+	return idle, limit, false
 }
--- a/internal/entry/telemetry_test.go
+++ b/internal/entry/telemetry_test.go
@@ -3,13 +3,17 @@
 import (
 	"encoding/json"
 	"net"
+	"net/http"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
 // Guards against a log in which the repeats of a request that lost its upstream cannot be found.
@@ -52,3 +56,39 @@
 	is.Equal(fingerprints[0], fingerprints[1])
 	is.True(fingerprints[0] != fingerprints[2])
 }
+
+// Guards against a log that does not tell whether a request met the close of an idle connection.
+func TestCloseOfIdleConnectionIsLogged(t *testing.T) {
+	is := is.New(t)
+	lines := make(chan string, 1)
+	log := funcr.NewJSON(func(line string) {
+		if strings.Contains(line, `"reason":"idle"`) {
+			lines <- line
+		}
+	}, funcr.Options{Verbosity: 1})
+	const limit = 100 * time.Millisecond
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))}, func(_ *settings.Settings, _ *Ports, e *Entry) {
+		if e != nil {
+			e.log = log
+		}
+	})
+	snapshot := *h.tables.Snapshot()
+	snapshot.Limits.IdleTimeout = table.Duration(limit) // below that of http.Server, which would close the connection, too
+	h.tables.current.Store(&snapshot)
+	caller := dialCaller(t, h.addr)
+	caller.send("/")
+	is.Equal(caller.status(), 200)
+	select {
+	case line := <-lines:
+		var fields struct{ Msg, Caller, Idle, Limit string }
+		is.NoErr(json.Unmarshal([]byte(line), &fields))
+		is.Equal(fields.Msg, "connection of a caller closed")
+		is.Equal(fields.Caller, caller.LocalAddr().String())
+		is.Equal(fields.Limit, limit.String())
+		idle, err := time.ParseDuration(fields.Idle)
+		is.NoErr(err)
+		is.True(idle >= limit)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the close was not logged")
+	}
+}
