callers: read a header section that arrived before its deadline

What callers saw: a request that had been sent whole and in time got no answer, or 400, from an instance that read it late.

Cause: the deadline of a header section ended the next read of net/http whether or not the section had arrived. An instance that does not run for a while finds the deadline passed before it looks at the socket. On plain-text connections net/http reads the first 14 bytes of a new connection apart, to tell HTTP/2 from HTTP/1, so a section that arrives at once takes two reads.

Change: after the deadline, a read of a new or idle connection still gets what has arrived, and fails if that is nothing. The bound on the size of a section stays. Bodies and encrypted connections keep their deadlines.

--- a/internal/callers/closing_test.go
+++ b/internal/callers/closing_test.go
@@ -1,7 +1,10 @@
 package callers
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -53,3 +56,51 @@
 	ordinary, c2 := pipe(s, false)
 	is.NoErr(feed(ordinary, c2, text))
 }
+
+// tcpPipe is pipe over TCP, as reads of a socket take another way.
+func tcpPipe(t *testing.T, s *Sections) (*Conn, net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	is.NoErr(err)
+	server, err := (&Listener{Listener: l, Guard: NewGuard(10, func(string) {}), Sections: s}).Accept()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = client.Close(); _ = server.Close() })
+	return server.(*Conn), client
+}
+
+// Guards against dropping a header section that arrived in time because it was read late, and against reading a body after its
+// deadline.
+func TestSectionThatArrivedBeforeItsDeadlineIsRead(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		phase Phase
+		want  error
+	}{
+		{"new connection", PhaseNew, nil},
+		{"kept connection", PhaseIdle, nil},
+		{"request in progress", PhaseActive, os.ErrDeadlineExceeded},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := testSections(1 << 20)
+			conn, client := tcpPipe(t, s)
+			if c.phase != PhaseNew {
+				conn.Enter(c.phase)
+			}
+			_, err := io.WriteString(client, "GET / HTTP/1.1\r\n\r\n")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // the bytes arrive
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(-time.Second)))
+			p := make([]byte, 100)
+			n, err := conn.Read(p)
+			is.True(errors.Is(err, c.want))
+			is.Equal(n > 0, c.want == nil)
+			_, err = conn.Read(p)
+			is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		})
+	}
+}
--- a/internal/callers/retire.go
+++ b/internal/callers/retire.go
@@ -27,13 +27,31 @@
 		return n, err
 	}
 	c.dst = p
-	if waitErr := c.raw.Read(c.readNow); waitErr != nil {
+	waitErr := c.raw.Read(c.readNow)
+	if errors.Is(waitErr, os.ErrDeadlineExceeded) && c.readLate() {
+		waitErr = nil
+	}
+	if waitErr != nil {
 		c.endRead(0, nil)
 		return 0, readError(waitErr)
 	}
 	return c.readN, c.readErr
 }
 
+// readLate reads what has arrived of a header section after its deadline, and reports false if that is nothing. The deadline
+// is that of the caller, who may have sent the section in time although the instance reads it later. A caller that sends
+// without a pause meets the limit on the size of the section.
+func (c *Conn) readLate() (arrived bool) {
+	c.mu.Lock()
+	waits := c.phase == PhaseNew || c.phase == PhaseIdle
+	c.mu.Unlock()
+	if !waits || c.encrypted {
+		return false
+	}
+	err := c.raw.Control(func(fd uintptr) { arrived = c.readArrived(fd) })
+	return arrived && err == nil
+}
+
 // startRead records that net/http asks for more bytes, and reports false if it gets none.
 func (c *Conn) startRead() bool {
 	c.mu.Lock()
