entry: an event of its own for the close of an idle connection

TestEventsAreListed failed: one message had two sets of fields. The close of an idle connection is now "idle connection of a caller closed", with caller, idle and limit.

--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -71,7 +71,7 @@
 
 // idleClosed logs the close of an idle connection. The caller's address tells which of its requests crossed the close.
 func (e *Entry) idleClosed(c net.Conn, idle, limit time.Duration) {
-	e.log.V(1).Info("connection of a caller closed", "reason", callers.ReasonIdle, "caller", c.RemoteAddr().String(), "idle", idle.String(), "limit", limit.String())
+	e.log.V(1).Info("idle connection of a caller closed", "caller", c.RemoteAddr().String(), "idle", idle.String(), "limit", limit.String())
 }
 
 // connectionClosing records a connection that is closed with bytes of a request that got no answer. An unread connection
