quarantine: an answer that clears nothing is a new one, too

An instance with losses before an answer did not learn of it, and counted them together with a later one, where the answer had cleared no loss at the instance that repeated it.

Cause: such an answer was repeated under the event ID of the answer before it, so instances that knew that one dropped it.

Change: each answer that is later than the one before gets an ID. The instance that recorded it knows its own answer when it comes back.

--- a/pkg/quarantine/service.go
+++ b/pkg/quarantine/service.go
@@ -257,10 +257,16 @@
 	f := s.hasher.Fingerprint(r)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.table.Known(f) && s.table.RecordSuccess(now, f, now, home) {
-		id := rand.Uint64() | 1
-		s.table.records[f].clearedBy = id
-		s.enqueue(now, event{id: id, f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
+	if !s.table.Known(f) {
+		return
+	}
+	news := s.table.RecordSuccess(now, f, now, home)
+	record := s.table.records[f]
+	if record.clearedAt.Equal(now) {
+		record.clearedBy = rand.Uint64() | 1
+	}
+	if news {
+		s.enqueue(now, event{id: record.clearedBy, f: f, loss: Loss{At: now}, cleared: true, homeRegions: home})
 		s.update()
 	}
 }
@@ -412,6 +418,9 @@
 func (s *Service) take(now time.Time, e event) (news bool) {
 	switch {
 	case e.cleared:
+		if r := s.table.records[e.f]; r != nil && r.clearedBy == e.id && e.id != 0 {
+			return false // the same answer, whose time is later by the latency of its reports
+		}
 		news = s.table.RecordSuccess(now, e.f, e.loss.At, e.homeRegions)
 		if r := s.table.records[e.f]; r != nil && r.clearedAt.Equal(e.loss.At) {
 			r.clearedBy = e.id
@@ -586,8 +595,9 @@
 // repeatTime is how long an answer is repeated with each report of a loss: the call with the answer may have failed.
 const repeatTime = 5 * time.Second
 
-// recentAnswers returns the latest answers, one for a loss at most, to the requests whose losses are reported, so that a loss does not arrive
-// before an answer that precedes it and count together with the losses that the answer clears. The caller holds mu.
+// recentAnswers returns the latest answers, one for a loss at most, to the requests whose losses are reported, so that a loss
+// does not arrive before an answer that precedes it and count together with the losses that the answer clears. The caller
+// holds mu.
 func (s *Service) recentAnswers(now time.Time, positions []int64) (items []*peerpb.QuarantineItem) {
 	seen := map[Fingerprint]bool{}
 	for _, p := range positions {
--- a/pkg/quarantine/spread_test.go
+++ b/pkg/quarantine/spread_test.go
@@ -104,3 +104,44 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against an answer that clears nothing where it is recorded and is then taken for the answer before it, so that an
+// instance with losses in between does not learn of it.
+func TestAnswerWithoutLossesIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		net := peertest.New(1)
+		ids := []peer.InstanceID{"e0/1", "e1/1"}
+		lossy := make([]atomic.Bool, len(ids))
+		var services []*Service
+		for i, id := range ids {
+			s, err := NewService(Config{
+				Transport:   lossyTransport{net.Join(id, fmt.Sprintf("10.0.0.%d:1", i)), &lossy[i]},
+				InstancesIn: func([]string) []peer.InstanceID { return ids[1-i : 2-i] }, Settings: fleetSettings(), Log: logr.Discard(),
+			})
+			is.NoErr(err)
+			services = append(services, s)
+			go func() { _ = s.Run(ctx) }()
+		}
+		lose := func(s, u int) {
+			services[s].RecordOutcome(time.Now(), time.Now().Add(-time.Millisecond), upstream(u), path(0), Cut, nil)
+			services[s].RecordRefusedConnection(time.Now(), upstream(u))
+			time.Sleep(10 * time.Millisecond)
+		}
+		answer := func() {
+			services[0].RecordOutcome(time.Now(), time.Now(), upstream(9), path(0), Completed, nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		lose(0, 0)
+		answer() // which both know
+		lossy[1].Store(true)
+		lose(1, 1)
+		lose(1, 2)
+		answer()
+		lose(0, 3)
+		is.Equal(services[1].Admit(time.Now(), path(0)), Serialize) // one loss
+	})
+}
