readiness: an instance is not ready before it listens for callers

Cause: /readyz answered 200 as soon as the instance had its tables, on the platform and in the daemon. The services of an instance start at the same time, so the admin listener could report readiness before the listener for callers was open, and a balancer in front sent it callers whose connections were refused.

Change: readiness also needs the listener for callers.

Result: TestInstanceIsNotReadyBeforeItListens fails before (ready without a listener) and passes after. In the daemon the same condition is added by reading; no test of its own shows it.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -80,7 +80,7 @@
 	case s.leaving.Load():
 		return c.String(http.StatusServiceUnavailable, "leaving\n")
 	case !s.ready():
-		return c.String(http.StatusServiceUnavailable, "no tables or no view of the region yet\n")
+		return c.String(http.StatusServiceUnavailable, "no tables, no view of the region or no listener for callers yet\n")
 	}
 	return c.String(http.StatusOK, "ok\n")
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -131,11 +131,15 @@
 	if err != nil {
 		return err
 	}
+	data, err := kernel.Lookup[*entryServer](k, EntryHTTP)
+	if err != nil {
+		return err
+	}
 	// Without the view of its region an instance gets no unit of a cold upstream, and after
 	// its own start it treats every upstream as cold.
 	ready := func() bool {
 		_, known := v.Current(o.cfg.Region)
-		return known && loop.Snapshot().Tables != nil
+		return known && loop.Snapshot().Tables != nil && data.Listening()
 	}
 	observe := func(pool string, u table.Upstream) (string, int64) {
 		return l.stateOf(pool, u), l.inFlightAt(pool, u.ID)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -256,6 +256,9 @@
 	return end != nil && t.After(end.Add(-endMargin))
 }
 
+// Listening reports whether callers can connect.
+func (e *Entry) Listening() bool { return e.listener.Load() != nil }
+
 // Running returns the number of requests in progress.
 func (e *Entry) Running() int64 { return e.running.Load() }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -212,7 +212,8 @@
 	if err != nil {
 		return err
 	}
-	o.Server = admin.New(o.cfg.Admin, followed.Ready, func() any { return platformStatus{followed.Snapshot(), o.Callers()} })
+	ready := func() bool { return followed.Ready() && data.Listening() }
+	o.Server = admin.New(o.cfg.Admin, ready, func() any { return platformStatus{followed.Snapshot(), o.Callers()} })
 	o.Where(data.where)
 	return nil
 }
