tests: reserve the ports of test addresses across test processes

Cause: FreeAddress only checks that nothing listens on a port at that moment. Another test process can get the same port before a process listens on it, or while it restarts, since the ranges of ports of two processes overlap after 97 addresses.

Change: a lock file per port, which the system releases with the process.

--- a/internal/fake/address.go
+++ b/internal/fake/address.go
@@ -4,8 +4,12 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
+	"strconv"
 	"sync/atomic"
 	"testing"
+
+	"github.com/gofrs/flock"
 )
 
 // The ports of test addresses are below the ephemeral port range of the system,
@@ -17,8 +21,7 @@
 	// portCount is the number of ports for test addresses.
 	portCount = 20_000
 	// portStride is the distance between the first ports of two test processes with
-	// consecutive process IDs. Randomly selected ports of test processes that run in
-	// parallel collided occasionally.
+	// consecutive process IDs, so that most need not skip ports that another one has reserved.
 	portStride = 97
 )
 
@@ -26,17 +29,29 @@
 var nextPort atomic.Int64
 
 // FreeAddress returns a loopback address with a free port for a process that a test
-// starts. Test processes that run in parallel usually have close process IDs and
-// therefore use distinct ranges of ports.
+// starts. Until the test ends, no other test gets the port, in any process: it is also
+// reserved before the process listens and while it restarts.
 func FreeAddress(t *testing.T) string {
 	t.Helper()
+	dir := filepath.Join(os.TempDir(), "turmericsail-test-ports")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Fatal(err)
+	}
 	for range portCount {
 		port := firstPort + (int64(os.Getpid())*portStride+nextPort.Add(1))%portCount
+		lock := flock.New(filepath.Join(dir, strconv.FormatInt(port, 10)))
+		if locked, err := lock.TryLock(); err != nil {
+			t.Fatal(err)
+		} else if !locked {
+			continue
+		}
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		if l, err := net.Listen("tcp", address); err == nil {
 			_ = l.Close()
+			t.Cleanup(func() { _ = lock.Unlock() })
 			return address
 		}
+		_ = lock.Unlock()
 	}
 	t.Fatal("no free port for a test address")
 	return ""
