entry: tell callers that a connection ends after an early response

What callers saw: after an early response of 2xx, or a stored response to a repeated upload, a caller that had sent the rest of its body and then a whole further request got neither a response nor a refusal to it.

Cause: the connection ends after a response that did not wait for the whole request body, but only early errors said so. Without "Connection: close" the caller may reuse the connection, and its next request was discarded with the rest of the body.

Change: every response that begins before the body was received to its end has "Connection: close", stored ones included. A response with a stored answer to a chunked request has it, too, as RFC 9112, section 6.1 requires.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -85,6 +85,7 @@
 		h[name] = values
 	}
 	h[x.e.proto.RequestID] = []string{x.id}
+	x.announceClose(h)
 	x.announceIdle(h)
 	x.report.status, x.report.outcome, x.report.bytesDown = s.Status, "stored", int64(len(s.Body))
 	x.w.WriteHeader(s.Status)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -110,9 +110,7 @@
 	if x.maybeRan.Load() && h.Get(x.e.proto.Outcome) == string(NotRun) {
 		h.Set(x.e.proto.Outcome, string(Unknown)) // an earlier attempt may have run the request
 	}
-	if x.r.ProtoMajor == 1 && x.mustClose(resp) {
-		h.Set("Connection", "close")
-	}
+	x.announceClose(h)
 	x.announceIdle(h)
 	x.report.status, x.report.outcome = resp.StatusCode, "answered"
 	x.w.WriteHeader(resp.StatusCode)
@@ -121,13 +119,21 @@
 	}
 }
 
+// announceClose tells an HTTP/1 caller that its connection ends with the response, if it does.
+func (x *exchange) announceClose(h http.Header) {
+	if x.r.ProtoMajor == 1 && x.mustClose() {
+		h.Set("Connection", "close")
+	}
+}
+
 // mustClose reports whether the caller's connection must be closed after this
-// response. After an early error response, reuse would require reading the rest of
-// the request body. A chunked request may have carried a Content-Length, which
+// response. After an early response, reuse would require reading the rest of the
+// request body, and a caller that is not told sends its next request on the
+// connection. A chunked request may have carried a Content-Length, which
 // net/http has removed; RFC 9112 section 6.1 requires closing the connection after
 // such a request.
-func (x *exchange) mustClose(resp *http.Response) bool {
-	return len(x.r.TransferEncoding) > 0 || (resp.StatusCode >= 400 && !x.body.complete())
+func (x *exchange) mustClose() bool {
+	return len(x.r.TransferEncoding) > 0 || !x.body.complete()
 }
 
 // stream copies the response body. If the upstream fails, it resumes from another
