gateway: apply a changed grace to a running instance

What callers saw: an instance whose settings had shortened the grace since its start took requests while it left that could outlast the grace, refused those without a response at the old end, and was killed before: they got neither a response nor a refusal.

Cause: the grace was read from the bounds at the start only. A reload applied the other bounds, and logged the new grace without using it.

Change: the end of the process follows from the bounds in force when it starts to leave.

Evidence: TestRequestThatMayOutlastAChangedGraceIsRefused failed in 3 of 3 runs before ("200 != 503") and passes in 5 of 5 with the race detector, as internal/gateway does in full.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,7 +56,7 @@
 		{EntryRates, &ratesService{cfg: cfg, bounds: bounds, log: log.WithName(EntryRates)}},
 		{EntryHTTP, &entryService{cfg: cfg, bounds: bounds, log: log.WithName(EntryHTTP)}},
 		{AdminHTTP, &adminService{cfg: cfg}},
-		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), grace: bounds.Grace, log: log.WithName(EntryLeave)}},
+		{EntryLeave, &leaveService{notice: cfg.Shutdown.Notice.Std(), log: log.WithName(EntryLeave)}},
 	} {
 		if err := k.Register(s.name, s.service); err != nil {
 			return nil, err
@@ -126,6 +126,13 @@
 	}
 }
 
+// grace returns the time from SIGTERM to SIGKILL.
+func (c *entryService) grace() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bounds.Grace
+}
+
 // Provision implements kernel.Provisioner.
 func (c *entryService) Provision(k *kernel.Kernel) error {
 	followed, err := kernel.Lookup[*followService](k, ControlFollow)
@@ -222,7 +229,6 @@
 // listeners open until the platform's load balancer has had time to notice.
 type leaveService struct {
 	notice time.Duration
-	grace  time.Duration
 	log    logr.Logger
 	admin  *adminService
 	entry  *entryService
@@ -250,7 +256,7 @@
 	l.log.Info("leaving", "running", l.entry.Running(), "notice", l.notice.String())
 	l.admin.SetLeaving()
 	l.entry.SetLeaving()
-	l.entry.SetEnd(time.Now().Add(l.grace))
+	l.entry.SetEnd(time.Now().Add(l.entry.grace()))
 	pause.For(ctx, l.notice)
 	return nil
 }
