gateway: refuse requests that may outlast shutdown.grace

What callers saw: with a shutdown.grace that is shorter than the grace of the platform, an instance that leaves took requests that could outlast it, and ended before they had a response or a refusal.

Cause: the end of the process followed from the grace of the platform alone, while the process also ends itself after shutdown.grace.

Change: the earlier of the two is the end.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,10 +126,13 @@
 	}
 }
 
-// grace returns the time from SIGTERM to SIGKILL.
+// grace returns the time from SIGTERM to the end of the process: by the platform, or by the settings of the instance.
 func (c *entryService) grace() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if own := c.cfg.Shutdown.Grace.Std(); own > 0 {
+		return min(own, c.bounds.Grace)
+	}
 	return c.bounds.Grace
 }
 
