entry: refuse running requests earlier before the process ends

Beside load, callers of requests that an upstream still had got no response: the process ended before the refusal was sent.

runMargin is 300 ms now, and endMargin 500 ms, so that it stays above. A request that an upstream has had since before the shutdown loses at most 250 ms of the grace; later ones that may last that long are refused 300 ms sooner as not run. The refusal can't be sent without the goroutine of the attempt, since only that one may write the response.

A machine that stands still for longer than the margin still loses the refusal, so the entry in the list of known failures stays.

The tests derive their times from both margins; that a request is not refused too early is checked against its own margin now.

--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -67,7 +67,7 @@
 				is.NoErr(r.err)
 				is.Equal(r.status, 503)
 				is.Equal(r.outcome(), string(c.outcome))
-				is.True(time.Now().After(end.Add(-2 * endMargin))) // it waits for as long as it can be served
+				is.True(time.Now().After(end.Add(-endMargin))) // it waits for as long as it can be served
 			case <-time.After(time.Until(end)):
 				t.Fatal("the process ends before the request has a response")
 			}
@@ -140,7 +140,7 @@
 	go func() { replies <- h.do("GET", "/", nil) }()
 	<-began
 	h.entry.SetEnd(time.Now().Add(endMargin)) // waits end at once
-	time.Sleep(endMargin / 2)
+	time.Sleep((endMargin - runMargin) / 2)
 	close(answer)
 	r := <-replies
 	is.NoErr(r.err)
@@ -156,7 +156,7 @@
 		begins time.Duration // before the end of the process
 	}{
 		{"begun before", http.MethodPost, time.Second},
-		{"when waits have ended", http.MethodPost, endMargin / 2},
+		{"when waits have ended", http.MethodPost, (endMargin + runMargin) / 2},
 		{"that may be repeated", http.MethodGet, time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -182,7 +182,7 @@
 				is.NoErr(r.err)
 				is.Equal(r.status, 502)
 				is.Equal(r.outcome(), string(Unknown))
-				is.True(time.Now().After(end.Add(-endMargin))) // it may be answered until then
+				is.True(time.Now().After(end.Add(-runMargin))) // it may be answered until then
 			case <-time.After(time.Until(end)):
 				<-replies
 				t.Fatal("the process ends before the request has a response, by", time.Since(end))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -244,10 +244,12 @@
 }
 
 const (
-	// endMargin is kept between the last response and the end of the process, for the caller to receive it.
-	endMargin = 200 * time.Millisecond
-	// runMargin is kept for the refusals of requests at which an upstream is at work. Their work is lost, so it is shorter.
-	runMargin = 50 * time.Millisecond
+	// endMargin is kept between the last response and the end of the process, for the caller to receive it. It is longer than
+	// runMargin, so that a request that was sent just before waits ended has time to be answered.
+	endMargin = 500 * time.Millisecond
+	// runMargin is kept for the refusals of requests at which an upstream is at work. Their work is lost, so it is shorter, but it
+	// outlasts the delays of goroutines on a busy machine.
+	runMargin = 300 * time.Millisecond
 )
 
 // endsBefore reports whether the process may end before the given time.
