quarantine: decide again when an answer clears another suspect

A request that had ended three upstreams was admitted again seconds later, once they had started again.

Cause: losses that a request with more of them explains do not count. A harmless request that many send, whose copies are cut by several crashing ones, has the most losses for a moment, and the refusals of the crashing ones are withdrawn. Its next answer cleared it, but the others were judged again only with a further loss.

Change: an answer that clears a request with enough losses is followed by a new judgement of the others.

TestAnswerToAnotherSuspectDecidesAgain failed before.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -286,13 +286,16 @@
 	if !at.After(r.clearedAt) {
 		return false
 	}
-	before := len(r.losses)
+	before, suspected := len(r.losses), t.crashes(r.losses)
 	r.losses = slices.DeleteFunc(r.losses, func(l Loss) bool { return !l.At.After(at) })
 	r.clearedAt, r.homeRegions = at, home
 	if !t.crashes(r.losses) {
 		r.refusedUntil, r.refusals = time.Time{}, 0
 	}
 	r.expires = now.Add(t.settings.SuspectTime.Std())
+	if suspected && !t.crashes(r.losses) {
+		t.judge(now) // the request no longer explains the losses of others
+	}
 	return len(r.losses) < before
 }
 
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -109,6 +109,29 @@
 	}
 }
 
+// Guards against a crashing request that is not refused since its losses were put down to another request, which was
+// answered since.
+func TestAnswerToAnotherSuspectDecidesAgain(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(fleetSettings())
+	crashing, harmless := fingerprint(1), fingerprint(2)
+	lose := func(at time.Time, u uint64, cut ...Fingerprint) {
+		for _, f := range cut {
+			table.RecordLoss(at, f, Loss{Upstream: u, Domain: u, At: at, Began: at.Add(-10 * time.Millisecond)}, nil)
+		}
+	}
+	for u := range uint64(3) {
+		lose(start.Add(time.Duration(u)*50*time.Millisecond), u+1, crashing, harmless)
+	}
+	lose(start.Add(150*time.Millisecond), 4, harmless) // of another cause
+	now := start.Add(160 * time.Millisecond)
+	is.Equal(table.Admit(now, crashing), Serialize) // the other one has more losses
+	is.True(table.RecordSuccess(now, harmless, now, nil))
+	is.Equal(table.Admit(now, harmless), Run)
+	is.Equal(table.Admit(now, crashing), Hold)
+	is.Equal(table.Admit(now.Add(clearTime), crashing), Refuse)
+}
+
 // Guards against a refusal that ends early or never, and against a crashing request
 // that can take down two more upstreams after each refusal.
 func TestFingerprintIsSuspectAfterRefusal(t *testing.T) {
