quarantine: a loss of another request does not prolong a refusal

A request whose refusal was over could be refused again at once, for twice as long, although it had not run since.

Cause: refusals that are over are ended once a second. Where a loss of another request led to a judgement before that, all losses of the refused one still counted.

Change: the refusal is ended before its losses are judged or a further one is added.

TestLossOfAnotherRequestDoesNotProlongARefusal failed before. Found by reading.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -101,6 +101,7 @@
 	if r == nil {
 		r = t.add(now, f)
 	}
+	t.endRefusal(now, r)
 	if !r.addLoss(l, t.settings.RestartTime.Std()) {
 		return false
 	}
@@ -171,6 +172,7 @@
 func (t *Table) judge(now time.Time) {
 	var suspects []*record
 	for f, r := range t.records {
+		t.endRefusal(now, r)
 		if !f.withoutBody() && t.crashes(r.losses) {
 			suspects = append(suspects, r)
 		}
@@ -303,13 +305,19 @@
 // once a second.
 func (t *Table) Expire(now time.Time) {
 	for f, r := range t.records {
-		switch {
-		case !now.Before(r.expires):
+		if !now.Before(r.expires) {
 			delete(t.records, f)
-		case !r.refusedUntil.IsZero() && !now.Before(r.refusedUntil):
-			r.refusedUntil = time.Time{}
-			r.losses = r.losses[max(len(r.losses)-t.settings.MinLosses+1, 0):]
+			continue
 		}
+		t.endRefusal(now, r)
+	}
+}
+
+// endRefusal ends a refusal whose time is over: the fingerprint is then a suspect that one more loss refuses again.
+func (t *Table) endRefusal(now time.Time, r *record) {
+	if !r.refusedUntil.IsZero() && !now.Before(r.refusedUntil) {
+		r.refusedUntil = time.Time{}
+		r.losses = r.losses[max(len(r.losses)-t.settings.MinLosses+1, 0):]
 	}
 }
 
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -132,6 +132,24 @@
 	is.Equal(table.Admit(now.Add(clearTime), crashing), Refuse)
 }
 
+// Guards against a refusal that a loss of another request prolongs at its end.
+func TestLossOfAnotherRequestDoesNotProlongARefusal(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(fleetSettings())
+	lose := func(f Fingerprint, begin time.Time) {
+		for u := range uint64(3) {
+			at := begin.Add(time.Duration(u) * 50 * time.Millisecond)
+			table.RecordLoss(at, f, Loss{Upstream: u + 1, Domain: u + 1, At: at, Began: at.Add(-10 * time.Millisecond)}, nil)
+		}
+	}
+	lose(fingerprint(1), start)
+	end := table.RefusedUntil(fingerprint(1))
+	is.True(start.Before(end))
+	lose(fingerprint(2), end) // before Expire is called
+	is.Equal(table.Admit(end.Add(time.Second), fingerprint(1)), Serialize)
+	is.Equal(table.Admit(end.Add(time.Second), fingerprint(2)), Refuse)
+}
+
 // Guards against a refusal that ends early or never, and against a crashing request
 // that can take down two more upstreams after each refusal.
 func TestFingerprintIsSuspectAfterRefusal(t *testing.T) {
