quarantine: a late answer does not shorten a refusal

A request that is refused for the second time, for 20 minutes, could be admitted after 10.

Cause: the report of an answer set the end of the record to the time for suspects from now, also where the losses after the answer keep the refusal in force, and the record was removed before the refusal ended.

Change: the record of a refusal that stays in force is kept until it ends.

TestLateAnswerDoesNotShortenARefusal failed before. Found by reading.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -291,10 +291,12 @@
 	before, suspected := len(r.losses), t.crashes(r.losses)
 	r.losses = slices.DeleteFunc(r.losses, func(l Loss) bool { return !l.At.After(at) })
 	r.clearedAt, r.homeRegions = at, home
-	if !t.crashes(r.losses) {
+	r.expires = now.Add(t.settings.SuspectTime.Std())
+	if t.crashes(r.losses) {
+		r.extendExpiry(r.refusedUntil.Add(t.settings.SuspectTime.Std()))
+	} else {
 		r.refusedUntil, r.refusals = time.Time{}, 0
 	}
-	r.expires = now.Add(t.settings.SuspectTime.Std())
 	if suspected && !t.crashes(r.losses) {
 		t.judge(now) // the request no longer explains the losses of others
 	}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -150,6 +150,36 @@
 	is.Equal(table.Admit(end.Add(time.Second), fingerprint(2)), Refuse)
 }
 
+// Guards against a refusal that ends early since an answer before its losses arrives late.
+func TestLateAnswerDoesNotShortenARefusal(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(fleetSettings())
+	now := start
+	f := fingerprint(1)
+	u := uint64(0)
+	lose := func() {
+		u++
+		table.RecordLoss(now, f, Loss{Upstream: u, Domain: u, At: now, Began: now.Add(-10 * time.Millisecond)}, nil)
+		now = now.Add(50 * time.Millisecond)
+	}
+	for range 3 {
+		lose()
+	}
+	now = table.RefusedUntil(f)
+	table.Expire(now)
+	answered := now
+	now = now.Add(20 * time.Millisecond)
+	for range 3 {
+		lose()
+	}
+	until := table.RefusedUntil(f)
+	is.True(until.Sub(now) > 15*time.Minute) // the second refusal is longer
+	is.True(table.RecordSuccess(now, f, answered, nil))
+	now = until.Add(-time.Second)
+	table.Expire(now)
+	is.Equal(table.Admit(now, f), Refuse)
+}
+
 // Guards against a refusal that ends early or never, and against a crashing request
 // that can take down two more upstreams after each refusal.
 func TestFingerprintIsSuspectAfterRefusal(t *testing.T) {
