--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -101,6 +101,7 @@
 	if r == nil {
 		r = t.add(now, f)
 	}
+	t.endRefusal(now, r)
 	if !r.addLoss(l, t.settings.RestartTime.Std()) {
 		return false
 	}
@@ -171,6 +172,7 @@
 func (t *Table) judge(now time.Time) {
 	var suspects []*record
 	for f, r := range t.records {
+		t.endRefusal(now, r)
 		if !f.withoutBody() && t.crashes(r.losses) {
 			suspects = append(suspects, r)
 		}
@@ -286,13 +288,18 @@
 	if !at.After(r.clearedAt) {
 		return false
 	}
-	before := len(r.losses)
+	before, suspected := len(r.losses), t.crashes(r.losses)
 	r.losses = slices.DeleteFunc(r.losses, func(l Loss) bool { return !l.At.After(at) })
 	r.clearedAt, r.homeRegions = at, home
-	if !t.crashes(r.losses) {
+	r.expires = now.Add(t.settings.SuspectTime.Std())
+	if t.crashes(r.losses) {
+		r.extendExpiry(r.refusedUntil.Add(t.settings.SuspectTime.Std()))
+	} else {
 		r.refusedUntil, r.refusals = time.Time{}, 0
 	}
-	r.expires = now.Add(t.settings.SuspectTime.Std())
+	if suspected && !t.crashes(r.losses) {
+		t.judge(now) // the request no longer explains the losses of others
+	}
 	return len(r.losses) < before
 }
 
@@ -300,13 +307,19 @@
 // once a second.
 func (t *Table) Expire(now time.Time) {
 	for f, r := range t.records {
-		switch {
-		case !now.Before(r.expires):
+		if !now.Before(r.expires) {
 			delete(t.records, f)
-		case !r.refusedUntil.IsZero() && !now.Before(r.refusedUntil):
-			r.refusedUntil = time.Time{}
-			r.losses = r.losses[max(len(r.losses)-t.settings.MinLosses+1, 0):]
+			continue
 		}
+		t.endRefusal(now, r)
+	}
+}
+
+// endRefusal ends a refusal whose time is over: the fingerprint is then a suspect that one more loss refuses again.
+func (t *Table) endRefusal(now time.Time, r *record) {
+	if !r.refusedUntil.IsZero() && !now.Before(r.refusedUntil) {
+		r.refusedUntil = time.Time{}
+		r.losses = r.losses[max(len(r.losses)-t.settings.MinLosses+1, 0):]
 	}
 }
 
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -109,6 +109,77 @@
 	}
 }
 
+// Guards against a crashing request that is not refused since its losses were put down to another request, which was
+// answered since.
+func TestAnswerToAnotherSuspectDecidesAgain(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(fleetSettings())
+	crashing, harmless := fingerprint(1), fingerprint(2)
+	lose := func(at time.Time, u uint64, cut ...Fingerprint) {
+		for _, f := range cut {
+			table.RecordLoss(at, f, Loss{Upstream: u, Domain: u, At: at, Began: at.Add(-10 * time.Millisecond)}, nil)
+		}
+	}
+	for u := range uint64(3) {
+		lose(start.Add(time.Duration(u)*50*time.Millisecond), u+1, crashing, harmless)
+	}
+	lose(start.Add(150*time.Millisecond), 4, harmless) // of another cause
+	now := start.Add(160 * time.Millisecond)
+	is.Equal(table.Admit(now, crashing), Serialize) // the other one has more losses
+	is.True(table.RecordSuccess(now, harmless, now, nil))
+	is.Equal(table.Admit(now, harmless), Run)
+	is.Equal(table.Admit(now, crashing), Hold)
+	is.Equal(table.Admit(now.Add(clearTime), crashing), Refuse)
+}
+
+// Guards against a refusal that a loss of another request prolongs at its end.
+func TestLossOfAnotherRequestDoesNotProlongARefusal(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(fleetSettings())
+	lose := func(f Fingerprint, begin time.Time) {
+		for u := range uint64(3) {
+			at := begin.Add(time.Duration(u) * 50 * time.Millisecond)
+			table.RecordLoss(at, f, Loss{Upstream: u + 1, Domain: u + 1, At: at, Began: at.Add(-10 * time.Millisecond)}, nil)
+		}
+	}
+	lose(fingerprint(1), start)
+	end := table.RefusedUntil(fingerprint(1))
+	is.True(start.Before(end))
+	lose(fingerprint(2), end) // before Expire is called
+	is.Equal(table.Admit(end.Add(time.Second), fingerprint(1)), Serialize)
+	is.Equal(table.Admit(end.Add(time.Second), fingerprint(2)), Refuse)
+}
+
+// Guards against a refusal that ends early since an answer before its losses arrives late.
+func TestLateAnswerDoesNotShortenARefusal(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(fleetSettings())
+	now := start
+	f := fingerprint(1)
+	u := uint64(0)
+	lose := func() {
+		u++
+		table.RecordLoss(now, f, Loss{Upstream: u, Domain: u, At: now, Began: now.Add(-10 * time.Millisecond)}, nil)
+		now = now.Add(50 * time.Millisecond)
+	}
+	for range 3 {
+		lose()
+	}
+	now = table.RefusedUntil(f)
+	table.Expire(now)
+	answered := now
+	now = now.Add(20 * time.Millisecond)
+	for range 3 {
+		lose()
+	}
+	until := table.RefusedUntil(f)
+	is.True(until.Sub(now) > 15*time.Minute) // the second refusal is longer
+	is.True(table.RecordSuccess(now, f, answered, nil))
+	now = until.Add(-time.Second)
+	table.Expire(now)
+	is.Equal(table.Admit(now, f), Refuse)
+}
+
 // Guards against a refusal that ends early or never, and against a crashing request
 // that can take down two more upstreams after each refusal.
 func TestFingerprintIsSuspectAfterRefusal(t *testing.T) {
