entry: announce the close of idle connections of HTTP/2 under the limit of the tables

Where operators lower idle_timeout in the tables below the instance's own setting, connections of HTTP/2 were closed without GOAWAY. A caller whose request crossed the close could not know whether it ran.

Cause: http.Server announces a close only at its own idle timeout, which is fixed at the start, and at its shutdown, which is for all connections together. The lower limit therefore closed the socket.

Each connection of HTTP/2 is now served by a server of its own, with the handler and settings of the callers' server, so that the shutdown of this one announces the close. net/http then refuses later requests and closes the connection after its last response. If it does not, as with a caller that does not read, the socket is closed after 2 s, unless a request runs. A connection that begins to be served during shutdown is announced, too; this is by reading, no test shows it.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -100,6 +100,9 @@
 	ended      bool      // the socket is closed
 	settlesAt  time.Time // until when the last response may not have been written
 
+	announce   func()      // see SetHTTP2
+	closeTimer *time.Timer // set when the close was announced
+
 	// The state of the latest request of HTTP/1 and its response, see lingers.
 	responding  bool // a handler has not completed the response
 	unread      bool // the request may not have been read to its end
@@ -379,6 +382,9 @@
 	c.mu.Lock()
 	first := !c.ended
 	c.ended = true
+	if c.closeTimer != nil {
+		c.closeTimer.Stop()
+	}
 	closing := Closing{Reason: c.reason, Unanswered: c.unanswered()}
 	c.mu.Unlock()
 	if first {
--- a/internal/callers/linger_test.go
+++ b/internal/callers/linger_test.go
@@ -105,7 +105,7 @@
 			_ = respond(c)
 			return err
 		}, false},
-		{"HTTP/2", func(c *Conn, _ net.Conn) error { c.SetHTTP2(); return respond(c) }, false},
+		{"HTTP/2", func(c *Conn, _ net.Conn) error { c.SetHTTP2(nil); return respond(c) }, false},
 		{"HTTP/2 in plain text", func(c *Conn, client net.Conn) error {
 			return errors.Join(feed(c, client, http2Preface), respond(c))
 		}, false},
--- a/internal/callers/retire.go
+++ b/internal/callers/retire.go
@@ -113,8 +113,13 @@
 	return c.retireLocked()
 }
 
+// isUseless reports whether no bytes were delivered that may be a request, and the connection is not retired yet.
+func (c *Conn) isUseless() bool {
+	return !c.retired && !c.delivered && c.phase != PhaseActive && !c.settlesAt.After(time.Now())
+}
+
 func (c *Conn) retireLocked() bool {
-	if c.retired || c.delivered || c.phase == PhaseActive || c.settlesAt.After(time.Now()) {
+	if !c.isUseless() {
 		return false
 	}
 	c.retired = true
@@ -140,8 +145,10 @@
 	return c.retireIfQuiet()
 }
 
-// retireIfQuiet retires the connection unless bytes of a section have been read, which is not known if it is encrypted, or
-// have arrived.
-func (c *Conn) retireIfQuiet() bool {
-	return (c.encrypted || c.size == 0) && !socket.HasUnread(c.raw) && c.retireLocked()
+// retireIfQuiet retires the connection if it is quiet.
+func (c *Conn) retireIfQuiet() bool { return c.isQuiet() && c.retireLocked() }
+
+// isQuiet reports whether no bytes of a section have been read, which is not known if it is encrypted, or have arrived.
+func (c *Conn) isQuiet() bool {
+	return (c.encrypted || c.size == 0) && !socket.HasUnread(c.raw)
 }
--- a/internal/entry/clients.go
+++ b/internal/entry/clients.go
@@ -35,7 +35,7 @@
 }
 
 // enterPhase tells the guard what a connection is doing; it is a ConnState hook of http.Server.
-func enterPhase(c net.Conn, s http.ConnState) {
+func (e *Entry) enterPhase(c net.Conn, s http.ConnState) {
 	conn := callerConn(c)
 	if conn == nil {
 		return
@@ -43,7 +43,7 @@
 	switch s {
 	case http.StateActive:
 		if conn.IsNew() && isHTTP2(c, conn) {
-			conn.SetHTTP2()
+			conn.SetHTTP2(e.http2.announcer(c))
 		}
 		conn.Enter(callers.PhaseActive)
 	case http.StateIdle:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -60,6 +60,7 @@
 
 	server        *http.Server
 	relayedServer *http.Server // serves streams relayed by entries outside the home regions
+	http2         *http2Conns
 	relayListener *streamListener
 	conns         *connPools
 	relayDialer   *relayDialer
@@ -110,6 +111,7 @@
 	e.server.Protocols.SetHTTP2(true)
 	e.server.Protocols.SetUnencryptedHTTP2(cfg.Callers.Plaintext)
 	e.server.HTTP2 = http2Config(int64(cfg.Limits.Memory))
+	e.http2 = newHTTP2Conns(e.server)
 	e.guard = callers.NewGuard(callers.MaxConnections(descriptors(cfg.Limits)), e.connectionClosed)
 	e.budget = callers.NewBudget(requestMemory(cfg.Limits))
 	e.refusals = callers.NewBudget(e.budget.Limit() / refusalShare)
@@ -121,7 +123,8 @@
 	idle := newIdleConns(cfg.Limits.IdleTimeout.Std(), func() time.Duration { return e.limits().IdleTimeout.Std() }, e.idleClosed)
 	e.server.ConnState = func(c net.Conn, s http.ConnState) {
 		idle.connState(c, s)
-		enterPhase(c, s)
+		e.enterPhase(c, s)
+		e.http2.connState(c, s)
 	}
 	e.server.ConnContext = connContext
 	e.relayedServer = e.newServer(true)
--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -92,17 +92,24 @@
 	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
 	files := tlstest.Files(t, "entry")
 	files.CA = "" // with a CA, callers would need certificates
+	unchanged, nothing := func(*settings.Settings) {}, func(*testing.T, *harness) {}
 	for _, c := range []struct {
 		name   string
 		set    func(*settings.Settings)
+		before func(*testing.T, *harness) // the caller connects
 		closes func(*testing.T, *harness)
 	}{
-		{"shutdown", func(*settings.Settings) {}, func(t *testing.T, h *harness) {
+		{"shutdown", unchanged, nothing, func(t *testing.T, h *harness) {
 			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 			t.Cleanup(cancel)
 			go func() { _ = h.entry.Shutdown(ctx) }()
 		}},
-		{"idle timeout", func(s *settings.Settings) { s.Limits.IdleTimeout = table.Duration(300 * time.Millisecond) }, func(*testing.T, *harness) {}},
+		{"idle timeout", func(s *settings.Settings) { s.Limits.IdleTimeout = table.Duration(300 * time.Millisecond) }, nothing, nothing},
+		{"idle timeout of the tables", unchanged, func(_ *testing.T, h *harness) {
+			tables := *h.tables.Snapshot()
+			tables.Limits.IdleTimeout = table.Duration(300 * time.Millisecond)
+			h.tables.current.Store(&tables)
+		}, nothing},
 	} {
 		for name, encrypted := range map[string]bool{"plain": false, "tls": true} {
 			t.Run(c.name+", "+name, func(t *testing.T) {
@@ -112,10 +119,12 @@
 						s.Callers.Plaintext, s.Callers.TLS = false, &files
 					}
 				}))
+				c.before(t, h)
 				caller := dialFrames(t, h.addr, encrypted)
 				caller.get("/")
 				is.True(caller.served())
 				c.closes(t, h)
+				is.NoErr(caller.SetReadDeadline(time.Now().Add(10 * time.Second)))
 				last, announced := caller.lastProcessed()
 				is.True(announced)
 				is.Equal(last, uint32(1))
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -28,8 +28,8 @@
 
 // idleConns closes callers' connections that are idle for longer than the limit in
 // force. The idle timeout of http.Server is fixed at the start, while operators can
-// change the limit in the tables. Connections of HTTP/2 are left to http.Server while its limit is in force, because it
-// announces their close with GOAWAY.
+// change the limit in the tables. Connections of HTTP/2 are left to http.Server while its limit is in force. The close of
+// the others is announced with GOAWAY.
 type idleConns struct {
 	own   time.Duration // the limit of http.Server
 	limit func() time.Duration
@@ -63,7 +63,9 @@
 		t := &idleTimer{since: time.Now()}
 		t.Timer = time.AfterFunc(limit, func() {
 			if idle, limit, ok := i.expired(c, t); ok {
-				_ = c.Close() // the connection cannot be used after a failed Close either
+				if conn := callerConn(c); conn == nil || !conn.IsHTTP2() {
+					_ = c.Close() // the connection cannot be used after a failed Close either
+				}
 				i.closed(c, idle, limit)
 			}
 		})
@@ -71,8 +73,8 @@
 	}
 }
 
-// expired reports whether the connection must be closed now, for how long it has been idle, and the limit. Otherwise the timer
-// runs on: the limit may have become longer, or a request may be arriving.
+// expired reports whether the connection must be closed now, or its close was announced, for how long it has been idle, and the
+// limit. Otherwise the timer runs on: the limit may have become longer, or a request may be arriving.
 func (i *idleConns) expired(c net.Conn, t *idleTimer) (idle, limit time.Duration, ok bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -84,8 +86,14 @@
 	left := limit - idle
 	if left <= 0 {
 		conn := callerConn(c)
-		announced := conn != nil && limit >= i.own && conn.IsHTTP2()
-		if !announced && (conn == nil || conn.RetireIdle()) {
+		switch {
+		case conn == nil:
+			return idle, limit, true
+		case conn.IsHTTP2():
+			if limit < i.own && conn.AnnounceIdle() {
+				return idle, limit, true
+			}
+		case conn.RetireIdle():
 			return idle, limit, true
 		}
 		left = limit
