callers: announce the close of HTTP/2 connections that give their place to new ones

When the limit of connections was reached, a connection of HTTP/2 without a request was closed without GOAWAY to make room. A caller whose request crossed the close could not know whether it ran.

Cause: the guard closed the socket itself. It now announces the close, and net/http closes the connection a second later. Until then the connection stays open besides the limit: an eighth of it at most, 64 at most, whose descriptors are a part of the reserve. At this bound the oldest of them that carries no request is closed at once, although its caller may not have read GOAWAY yet. If all carry requests that net/http read before the announcement, another connection gives its place, or the new one is refused.

TestGuardBoundsAnnouncedConnections guards the bound.

--- a/internal/callers/guard.go
+++ b/internal/callers/guard.go
@@ -26,14 +26,19 @@
 // A connection that is being closed goes first, then one that has never carried a request, then an idle one; among them, one
 // at the address with most such connections. An address has no limit of its own, because thousands of callers may share the one of a
 // balancer.
+//
+// A connection of HTTP/2 that gives its place stays open until its close is announced, so that its caller learns which requests
+// were not run. The number of such connections is bounded, too; at the bound, the oldest one is closed at once.
 type Guard struct {
 	limit   int
 	onEvict func(reason string)
 
-	mu     sync.Mutex
-	open   int
-	http2  int               // open connections of HTTP/2
-	groups map[string]*group // by address
+	mu           sync.Mutex
+	open         int               // connections that have a place
+	http2        int               // those of HTTP/2
+	groups       map[string]*group // by address
+	announced    queue[*Member]    // connections without a place whose close was announced
+	maxAnnounced int
 }
 
 // group is the connections of one address.
@@ -45,7 +50,10 @@
 // NewGuard returns a guard of at most limit connections. onEvict is called for each connection that it closes, with the
 // reason.
 func NewGuard(limit int, onEvict func(reason string)) *Guard {
-	return &Guard{limit: limit, onEvict: onEvict, groups: map[string]*group{}}
+	return &Guard{
+		limit: limit, onEvict: onEvict, groups: map[string]*group{},
+		maxAnnounced: min(max(limit/announcedShare, 1), mostAnnounced),
+	}
 }
 
 // retirer is a connection that the guard can close.
@@ -57,6 +65,13 @@
 	retireQuiet() bool
 	// closeFor closes a connection that is retired. It may call Leave.
 	closeFor(reason string)
+
+	// replaceable reports whether retire would succeed. A connection of HTTP/2 is not retired but announces its close.
+	replaceable() bool
+	// announceFor announces the close of a connection of HTTP/2 and closes it later. It may call Leave.
+	announceFor(reason string)
+	// retireAnnounced is retire for a connection whose close was announced.
+	retireAnnounced() bool
 }
 
 // Member is a connection as the guard sees it.
@@ -92,6 +107,13 @@
 // about to carry a request.
 const maxCandidates = 16
 
+const (
+	// announcedShare is the part of the limit that connections whose close was announced may take besides it: an eighth.
+	announcedShare = 8
+	// mostAnnounced bounds their number, so that their descriptors are a part of descriptorReserve.
+	mostAnnounced = 64
+)
+
 // NewMember returns a connection that has not joined yet.
 func (g *Guard) NewMember(address string, conn retirer) *Member {
 	m := &Member{guard: g, address: address, conn: conn}
@@ -103,14 +125,16 @@
 func (m *Member) Join() bool {
 	g := m.guard
 	g.mu.Lock()
-	var victim *Member
+	var victim, overdue *Member
 	if g.open >= g.limit {
-		if victim = g.retireOldest(); victim == nil {
+		if victim, overdue = g.retireOldest(); victim == nil {
 			g.mu.Unlock()
 			g.onEvict(ReasonFull)
 			return false
 		}
-		g.remove(victim)
+		if g.remove(victim); victim.http2 {
+			g.announced.push(&victim.place)
+		}
 	}
 	m.group = g.groups[m.address]
 	if m.group == nil {
@@ -121,29 +145,59 @@
 	m.group.open++
 	m.insert()
 	g.mu.Unlock()
-	if victim != nil {
-		g.onEvict(ReasonReplaced)
+	if overdue != nil {
+		overdue.conn.closeFor(ReasonReplaced)
+	}
+	if victim == nil {
+		return true
+	}
+	g.onEvict(ReasonReplaced)
+	if victim.http2 {
+		victim.conn.announceFor(ReasonReplaced)
+	} else {
 		victim.conn.closeFor(ReasonReplaced)
 	}
 	return true
 }
 
-// retireOldest returns the connection that is closed next, or nil if all carry requests.
-func (g *Guard) retireOldest() *Member {
+// retireOldest returns the connection that gives its place next, or nil if all carry requests. The close of one of HTTP/2 must
+// be announced. overdue must be closed to make room for it, unless it is nil.
+func (g *Guard) retireOldest() (victim, overdue *Member) {
 	for _, phase := range []Phase{PhaseClosing, PhaseNew, PhaseIdle} {
 		for range maxCandidates {
 			m := g.oldest(phase)
 			if m == nil {
 				break
 			}
-			if m.conn.retire() {
-				return m
+			if !m.http2 {
+				if m.conn.retire() {
+					return m, nil
+				}
+			} else if m.conn.replaceable() {
+				if overdue, ok := g.roomToAnnounce(); ok {
+					return m, overdue
+				}
 			}
 			m.place.leave()
 			m.insert()
 		}
 	}
-	return nil
+	return nil, nil
+}
+
+// roomToAnnounce reports whether the close of another connection can be announced. overdue must be closed before, unless it is
+// nil.
+func (g *Guard) roomToAnnounce() (overdue *Member, ok bool) {
+	if g.announced.length < g.maxAnnounced {
+		return nil, true
+	}
+	for n := g.announced.first; n != nil; n = n.next {
+		if m := n.owner; m.conn.retireAnnounced() {
+			n.leave()
+			return m, true
+		}
+	}
+	return nil, false
 }
 
 // oldest returns the oldest connection in a phase at the address with most of them, or nil if there is none.
@@ -168,7 +222,11 @@
 }
 
 func (g *Guard) remove(m *Member) {
-	if m.left || m.group == nil { // left, or did not join
+	if m.group == nil { // did not join
+		return
+	}
+	if m.left {
+		m.place.leave() // its close may have been announced
 		return
 	}
 	m.left = true
@@ -240,11 +298,11 @@
 	return open
 }
 
-// Connections returns the number of open connections and the limit.
+// Connections returns the number of open connections and the limit, which those whose close was announced can exceed.
 func (g *Guard) Connections() (open, limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.open, g.limit
+	return g.open + g.announced.length, g.limit
 }
 
 // Use is how near an instance is to the limits of all its callers together.
--- a/internal/callers/guard_test.go
+++ b/internal/callers/guard_test.go
@@ -9,14 +9,19 @@
 
 // fakeConn is a connection of which a request has been read if busy is set.
 type fakeConn struct {
-	busy   bool
-	closed func()
+	busy      bool
+	closed    func()
+	announced bool
 }
 
 func (c *fakeConn) retire() bool      { return !c.busy }
 func (c *fakeConn) retireQuiet() bool { return !c.busy }
 func (c *fakeConn) closeFor(string)   { c.closed() }
 
+func (c *fakeConn) replaceable() bool     { return !c.busy }
+func (c *fakeConn) announceFor(string)    { c.announced = true }
+func (c *fakeConn) retireAnnounced() bool { return !c.busy }
+
 // Guards against a new connection that takes the place of one with a request, and against ordinary callers that lose
 // theirs to an address with many connections.
 func TestGuardReplacesTheOldestUselessConnection(t *testing.T) {
@@ -104,3 +109,52 @@
 	is.Equal(open, 2)
 	is.Equal(g.CloseQuiet(ReasonLeaving, PhaseNew, PhaseIdle), 2)
 }
+
+// Guards against connections of HTTP/2 that are closed without an announcement to make room, and against an unbounded number of
+// those whose close was announced.
+func TestGuardBoundsAnnouncedConnections(t *testing.T) {
+	is := is.New(t)
+	var reasons []string
+	g := NewGuard(2*announcedShare, func(reason string) { reasons = append(reasons, reason) })
+	var conns []*fakeConn
+	var members []*Member
+	closed := make([]bool, 2*announcedShare)
+	join := func() bool {
+		i, conn := len(conns), &fakeConn{}
+		m := g.NewMember("a", conn)
+		conn.closed = func() { closed[i] = true; m.Leave() }
+		conns, members = append(conns, conn), append(members, m)
+		return m.Join()
+	}
+	for i := range closed {
+		is.True(join())
+		members[i].setHTTP2()
+		members[i].Enter(PhaseIdle)
+	}
+	for i := range 3 {
+		is.True(join())
+		members[len(closed)+i].Enter(PhaseActive)
+	}
+	for i, c := range conns {
+		is.Equal(c.announced, i < 3)
+	}
+	is.True(slices.Equal(closed[:3], []bool{true, false, false}))
+	open, limit := g.Connections()
+	is.Equal(open, limit+2)
+
+	conns[1].busy, conns[2].busy = true, true // requests were read before the announcement
+	reasons = nil
+	is.True(!join())
+	is.True(slices.Equal(reasons, []string{ReasonFull}))
+	members[1].Leave()
+	is.True(join())
+	announced := 0
+	for _, c := range conns {
+		if c.announced {
+			announced++
+		}
+	}
+	is.Equal(announced, 4)
+	open, _ = g.Connections()
+	is.Equal(open, limit+2)
+}
--- a/internal/callers/http2_test.go
+++ b/internal/callers/http2_test.go
@@ -17,6 +17,7 @@
 		name     string
 		announce func(*Conn)
 	}{
+		{"replaced", func(c *Conn) { c.announceFor(ReasonReplaced) }},
 		{"idle", func(c *Conn) { c.AnnounceIdle() }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/callers/retire.go
+++ b/internal/callers/retire.go
@@ -106,11 +106,20 @@
 func (c *Conn) retire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// An unfinished section does not keep its connection: clients that send one without end would keep theirs.
-	if c.phase != PhaseClosing && c.size == 0 && socket.HasUnread(c.raw) {
-		return false
-	}
-	return c.retireLocked()
+	return c.isReplaceable() && c.retireLocked()
+}
+
+// replaceable reports whether retire would succeed.
+func (c *Conn) replaceable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isReplaceable() && c.isUseless()
+}
+
+// isReplaceable reports whether no bytes have arrived that may start a request. An unfinished section does not keep its
+// connection: clients that send one without end would keep theirs.
+func (c *Conn) isReplaceable() bool {
+	return c.phase == PhaseClosing || c.size != 0 || !socket.HasUnread(c.raw)
 }
 
 // isUseless reports whether no bytes were delivered that may be a request, and the connection is not retired yet.
--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -110,6 +110,10 @@
 			tables.Limits.IdleTimeout = table.Duration(300 * time.Millisecond)
 			h.tables.current.Store(&tables)
 		}, nothing},
+		{"replaced", func(s *settings.Settings) { s.Limits.Descriptors = 3 }, nothing, func(t *testing.T, h *harness) {
+			time.Sleep(1100 * time.Millisecond) // until the guard takes the last response for written
+			connectAnother(t, h.entry, h.addr)
+		}},
 	} {
 		for name, encrypted := range map[string]bool{"plain": false, "tls": true} {
 			t.Run(c.name+", "+name, func(t *testing.T) {
