callers: send no 400 for a header section that timed out

Callers saw "400 Bad Request" for a proper request whose header section did not arrive whole before the header timeout, if the timeout came within a line.

Cause: net/http takes the part of a line that was read before an error for the whole line, and refuses it as malformed. A new connection is most exposed: net/http looks for the preface of HTTP/2 first, so that its first read ends after 14 bytes, within the request line. At the end of a line the connection was closed without a response, as documented.

Change: a write on a connection fails if the latest read ended at a deadline before the end of the header section. A later read that gets bytes undoes this, since net/http reads on after an error while it looks for the preface. Encrypted connections are as before: the writes of a response and of the end of TLS cannot be told apart there.

The second test guards the change itself: it fails if a later read does not undo the timeout.

--- a/internal/callers/closing_test.go
+++ b/internal/callers/closing_test.go
@@ -104,3 +104,30 @@
 		})
 	}
 }
+
+// Guards against a request without a response because a read within its header section timed out before the rest arrived:
+// net/http looks for the preface of HTTP/2 first, and reads again after an error.
+func TestRequestReadAfterATimeoutIsAnswered(t *testing.T) {
+	for _, phase := range []Phase{PhaseNew, PhaseIdle} {
+		is := is.New(t)
+		s, _ := testSections(1 << 20)
+		conn, client := tcpPipe(t, s)
+		if phase != PhaseNew {
+			conn.Enter(phase)
+		}
+		is.NoErr(feed(conn, client, "GET /"))
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(-time.Second)))
+		p := make([]byte, 100)
+		_, err := conn.Read(p)
+		is.True(errors.Is(err, os.ErrDeadlineExceeded))
+		_, err = io.WriteString(client, " HTTP/1.1\r\n\r\n")
+		is.NoErr(err)
+		time.Sleep(50 * time.Millisecond) // the bytes arrive
+		n, err := conn.Read(p)
+		is.NoErr(err)
+		is.True(n > 0)
+		conn.Enter(PhaseActive)
+		_, err = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		is.NoErr(err)
+	}
+}
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -108,6 +108,9 @@
 	inputClosed bool // net/http gets no more bytes
 	// sectionFailed is set if the header section was not read to its end.
 	sectionFailed bool
+	// sectionTimedOut is set if the latest read ended at a deadline before the end of the header section. It is not known on
+	// encrypted connections.
+	sectionTimedOut bool
 
 	deadline   time.Time // set by net/http
 	sectionEnd time.Time // of the header section; zero before its first byte
@@ -125,8 +128,8 @@
 const settleTime = time.Second
 
 // errClosed is the error of a read on a connection that is closed because of its header section, or that was retired.
-// net/http sends no response of its own after an error of this kind, unless it came within a line: the part of the line
-// that was read is then taken for all of it. See Write.
+// net/http sends no response of its own after an error of this kind or a timeout, unless it came within a line: the part of
+// the line that was read is then taken for all of it. See Write.
 var errClosed = &net.OpError{Op: "read", Err: net.ErrClosed}
 
 // headerEnd is the end of the last header line and the empty line after it.
@@ -158,8 +161,8 @@
 	return n, err
 }
 
-// Write implements net.Conn. It fails on a connection that will be closed before it has carried a request, where net/http
-// would refuse an unfinished header section as malformed.
+// Write implements net.Conn. It fails on a connection that will be closed before it has carried a request, or whose header
+// section has timed out, where net/http would refuse an unfinished header section as malformed.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.isClosing() {
 		return 0, net.ErrClosed
@@ -177,7 +180,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// A connection that was idle has no unfinished section, and TLS announces its end.
-	return c.closed || c.overBudget || c.retired && c.reason != ReasonIdle
+	return c.closed || c.overBudget || c.sectionTimedOut || c.retired && c.reason != ReasonIdle
 }
 
 // count adds bytes to the header section, if one is being read, and returns what they cost.
--- a/internal/callers/conn_test.go
+++ b/internal/callers/conn_test.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -188,3 +189,73 @@
 	close(resume)
 	is.Equal(n, 0)
 }
+
+// Guards against a 400 for a header section that is not malformed but was cut off within a line by its timeout.
+func TestHeaderSectionThatTimesOutGetsNoResponse(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for _, c := range []struct {
+		name             string
+		settings, server time.Duration
+		requests         int // before the unfinished one
+		text             string
+		halfClose        bool
+		want             string
+	}{
+		{"timeout of the settings, request line", timeout, time.Minute, 0, "GET /read/l462", false, ""},
+		{"timeout of the settings, header line", timeout, time.Minute, 0, request[:18], false, ""},
+		{"timeout of the settings, end of a line", timeout, time.Minute, 0, request[:16], false, ""},
+		{"timeout of the settings, kept connection", timeout, time.Minute, 2, "GET /read/l462", false, ""},
+		{"timeout of http.Server, request line", time.Minute, timeout, 0, "GET /read/l462", false, ""},
+		{"timeout of http.Server, header line", time.Minute, timeout, 0, request[:18], false, ""},
+		{"timeout of http.Server, kept connection", time.Minute, timeout, 2, "GET /read/l462", false, ""},
+		{"end of the input", time.Minute, time.Minute, 0, "GET /read/l462", true, "400 Bad Request"},
+		{"malformed", timeout, timeout, 0, "GET /read/l462\r\n", false, "400 Bad Request"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			s, _ := testSections(1 << 20)
+			s.Timeout = func() time.Duration { return c.settings }
+			protocols := new(http.Protocols) // those of the callers' server
+			protocols.SetHTTP1(true)
+			protocols.SetUnencryptedHTTP2(true)
+			server := &http.Server{Handler: http.NotFoundHandler(), Protocols: protocols, ReadHeaderTimeout: c.server, IdleTimeout: time.Minute, ConnState: func(conn net.Conn, state http.ConnState) {
+				switch state {
+				case http.StateActive:
+					conn.(*Conn).Enter(PhaseActive)
+				case http.StateIdle:
+					conn.(*Conn).Enter(PhaseIdle)
+				}
+			}}
+			defer server.Close()
+			go func() {
+				_ = server.Serve(&Listener{Listener: l, Sections: s, Guard: NewGuard(10, func(string) {})})
+			}()
+			client, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer client.Close()
+			_ = client.SetReadDeadline(time.Now().Add(10 * time.Second))
+			r := bufio.NewReader(client)
+			for range c.requests {
+				_, err = io.WriteString(client, request)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(r, nil)
+				is.NoErr(err)
+				_, err = io.Copy(io.Discard, resp.Body)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusNotFound)
+			}
+			_, err = io.WriteString(client, c.text)
+			is.NoErr(err)
+			if c.halfClose {
+				is.NoErr(client.(*net.TCPConn).CloseWrite())
+			}
+			answer, err := io.ReadAll(r)
+			is.NoErr(err) // the connection is closed without a reset
+			line, _, _ := strings.Cut(string(answer), "\r\n")
+			is.Equal(strings.TrimPrefix(line, "HTTP/1.1 "), c.want)
+		})
+	}
+}
--- a/internal/callers/retire.go
+++ b/internal/callers/retire.go
@@ -24,6 +24,7 @@
 	if c.raw == nil {
 		n, err = c.Conn.Read(p)
 		c.endRead(n, err)
+		c.noteTimeout(err)
 		return n, err
 	}
 	c.dst = p
@@ -34,6 +35,7 @@
 	c.dst = nil // a background read of net/http passes a part of the object that holds the request
 	if waitErr != nil {
 		c.endRead(0, nil)
+		c.noteTimeout(waitErr)
 		return 0, readError(waitErr)
 	}
 	return c.readN, c.readErr
@@ -68,11 +70,23 @@
 func (c *Conn) endRead(n int, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting, c.delivered = false, n > 0
+	c.waiting, c.delivered, c.sectionTimedOut = false, n > 0, false
 	c.sectionFailed = c.sectionFailed || n == 0 && c.phase != PhaseActive
 	c.broken = c.broken || (err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 }
 
+// noteTimeout records an error of a read that is the timeout of a header section.
+func (c *Conn) noteTimeout(err error) {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// An encrypted connection announces its end, also when it was idle or its handshake has timed out.
+	waits := c.phase == PhaseNew || c.phase == PhaseIdle
+	c.sectionTimedOut = waits && !c.encrypted && !c.multiplexed()
+}
+
 // readArrived reads what has arrived, and reports false if that is nothing yet. It is called with the socket.
 func (c *Conn) readArrived(fd uintptr) bool {
 	c.mu.Lock()
@@ -87,7 +101,7 @@
 			c.readErr = readError(os.NewSyscallError("read", c.readErr))
 		}
 	}
-	c.waiting, c.delivered = false, c.readN > 0
+	c.waiting, c.delivered, c.sectionTimedOut = false, c.readN > 0, false // net/http may read on after a timeout
 	c.sectionFailed = c.sectionFailed || c.readN == 0 && c.phase != PhaseActive
 	return true
 }
