entry: tell callers that an instance leaves in responses to running requests

What callers saw: a request that ran when its instance began to leave got a response that told to keep the connection, which the instance closed as soon as it was idle. A whole further request on it could cross the close, and got neither a response nor a refusal.

Cause: "Connection: close" was decided when a request arrived.

Change: it is decided when the header of the response is written. A response whose header was sent before still has none.

Evidence: TestResponseToARunningRequestTellsThatTheInstanceLeaves failed in 6 of 6 cases of 3 runs before and passes in 50 of 50 runs since.

--- a/internal/entry/closing_test.go
+++ b/internal/entry/closing_test.go
@@ -304,3 +304,31 @@
 		})
 	}
 }
+
+// Guards against a response that tells its caller to reuse a connection which the instance closes, since it leaves meanwhile.
+func TestResponseToARunningRequestTellsThatTheInstanceLeaves(t *testing.T) {
+	for _, served := range []bool{true, false} {
+		t.Run(fmt.Sprintf("served %t", served), func(t *testing.T) {
+			is := is.New(t)
+			began, leaving := make(chan struct{}), make(chan struct{})
+			h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+				close(began)
+				<-leaving
+				if !served {
+					panic(http.ErrAbortHandler)
+				}
+			}))})
+			caller := dialCaller(t, h.addr)
+			_, err := io.WriteString(caller, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			<-began
+			h.entry.SetLeaving()
+			close(leaving)
+			resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode == 200, served)
+			is.True(resp.Close)
+			is.Equal(resp.Header.Get("Keep-Alive"), "")
+		})
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -141,9 +141,6 @@
 	defer x.forbid1xx() // a connection to an upstream may outlast the request
 	defer x.releaseMemory()
 	defer x.recoverServe()
-	if e.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	if refusal := x.run(); refusal != nil && !x.report.aborted {
 		x.refuse(refusal)
 	}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -44,7 +44,7 @@
 		x.report.aborted, x.report.cause = true, callerLeft // the caller is gone
 		return
 	}
-	f.Close = f.Close || (x.r.ProtoMajor == 1 && x.bodyUnread())
+	f.Close = f.Close || x.e.leaving.Load() || (x.r.ProtoMajor == 1 && x.bodyUnread())
 	x.forbid1xx() // first, because forward1xx also writes to the header
 	x.w.Header()[x.e.proto.RequestID] = []string{x.id}
 	if !f.Close {
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -119,9 +119,10 @@
 	}
 }
 
-// announceClose tells an HTTP/1 caller that its connection ends with the response, if it does.
+// announceClose tells the caller that its connection ends with the response, if it does. An instance that leaves closes its
+// connections as they become idle.
 func (x *exchange) announceClose(h http.Header) {
-	if x.r.ProtoMajor == 1 && x.mustClose() {
+	if x.e.leaving.Load() || x.r.ProtoMajor == 1 && x.mustClose() {
 		h.Set("Connection", "close")
 	}
 }
