entry: keep the idle time that the caller was told

What callers saw: beside a change of the configuration that lowers idle_timeout, a whole request got neither a response nor a refusal: its connection had been closed earlier than its previous response had told.

Cause: the Keep-Alive header tells the limit in force when the header of the response is written, and the connection had the limit in force when it became idle. A change between the two closed it too early.

Change: a connection stays idle for at least the limit from which its latest response told the time. A connection that is idle when the limit is lowered has kept the earlier one before, too.

Evidence: TestToldIdleTimeIsKept failed in 3 of 3 runs before ("0 != 200") and passes in 5 of 5 with the race detector. Full runs of internal/entry and internal/callers with the race detector pass.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -109,8 +109,9 @@
 	// sectionFailed is set if the header section was not read to its end.
 	sectionFailed bool
 
-	deadline   time.Time // set by net/http
-	sectionEnd time.Time // of the header section; zero before its first byte
+	keptIdle   time.Duration // see KeepIdle
+	deadline   time.Time     // set by net/http
+	sectionEnd time.Time     // of the header section; zero before its first byte
 
 	// The destination and result of readArrived, whose method value is kept to save allocations.
 	dst     []byte
@@ -304,6 +305,21 @@
 	}
 }
 
+// KeepIdle records the idle timeout from which the latest response tells the caller for how long it may reuse the connection; zero
+// if it tells nothing.
+func (c *Conn) KeepIdle(timeout time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keptIdle = timeout
+}
+
+// KeptIdle returns what KeepIdle has recorded.
+func (c *Conn) KeptIdle() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keptIdle
+}
+
 // SetReadDeadline implements net.Conn. A header section that has begun keeps its own deadline.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
--- a/internal/entry/closing_test.go
+++ b/internal/entry/closing_test.go
@@ -332,3 +332,28 @@
 		})
 	}
 }
+
+// Guards against a connection that is closed before the time that its caller was told, since operators have lowered the limit
+// while the response was sent.
+func TestToldIdleTimeIsKept(t *testing.T) {
+	is := is.New(t)
+	lowered := make(chan struct{})
+	h := newHarness(t, testRoute(), []string{serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		<-lowered
+	}))})
+	caller := dialCaller(t, h.addr)
+	caller.send("/")
+	resp, err := http.ReadResponse(caller.r, nil)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get("Keep-Alive"), "timeout=48")
+	snapshot := *h.tables.Snapshot()
+	snapshot.Limits.IdleTimeout = table.Duration(100 * time.Millisecond)
+	h.tables.current.Store(&snapshot)
+	close(lowered)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.NoErr(err)
+	time.Sleep(300 * time.Millisecond)
+	caller.send("/")
+	is.Equal(caller.status(), 200)
+}
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -21,9 +21,16 @@
 	if x.r.ProtoMajor != 1 || x.r.Close || h.Get("Connection") != "" {
 		return
 	}
-	if told := time.Duration(float64(x.e.limits().IdleTimeout.Std()) * announcedShare); told >= minAnnounced {
+	limit := x.e.limits().IdleTimeout.Std()
+	told := time.Duration(float64(limit) * announcedShare)
+	if told < minAnnounced {
+		limit = 0
+	} else {
 		h["Keep-Alive"] = x.headerValue("timeout=" + strconv.Itoa(int(told/time.Second)))
 	}
+	if x.conn != nil {
+		x.conn.KeepIdle(limit)
+	}
 }
 
 // idleConns closes callers' connections that are idle for longer than the limit in
@@ -60,6 +67,9 @@
 		return
 	}
 	if limit := i.limit(); limit > 0 {
+		if conn := callerConn(c); conn != nil {
+			limit = max(limit, conn.KeptIdle()) // operators may have lowered the limit since the caller was told
+		}
 		t := &idleTimer{since: time.Now()}
 		t.Timer = time.AfterFunc(limit, func() {
 			if idle, limit, ok := i.expired(c, t); ok {
