entry: refuse requests whose response is being recorded when the process ends

A request with an identity got neither a response nor a refusal if the process ended while its response was being read. Such a response is read as a whole for the at-most-once record before any of it is sent, so it can still be refused, but the end of runs skipped every request whose response header had arrived. Its claim was not settled either.

The end of runs now also cancels attempts whose response is being read for the record. The claim is settled as unknown, the caller gets 502 with an unknown outcome, and a repeat is told the same. A response that was read as a whole is still recorded and sent; one that turns out to be too large is refused if its attempt was cancelled. The cancelled attempt doesn't count as a lost upstream.

TestRecordedRequestIsRefusedBeforeTheProcessEnds: the cases "header" and "start of the body" failed before ("the process ends before the request has a response"), "no response" passed: the record and the refusal agree there.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -97,8 +97,11 @@
 func (c *copier) sendRecorded(t Ticket) *Refusal {
 	var body bytes.Buffer
 	complete, err := c.collect(&body)
+	if !c.x.endCollecting(complete) && err == nil {
+		err = errLeaving
+	}
 	if err != nil {
-		c.a.end(EndLost, false)
+		c.a.end(c.collectEnding(), false)
 		c.x.maybeRan.Store(true)
 		c.x.settleClaim(t)
 		return refuseUpstream()
@@ -138,6 +141,14 @@
 	return false, nil
 }
 
+// collectEnding maps the cause of a failed read of the response to the Ending that is reported for the upstream.
+func (c *copier) collectEnding() Ending {
+	if errors.Is(context.Cause(c.a.ctx), errLeaving) {
+		return EndCancelled
+	}
+	return EndLost
+}
+
 // streamRecorded streams the rest of a response that is too large to be stored.
 func (c *copier) streamRecorded(t Ticket) {
 	c.stream()
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -91,11 +91,11 @@
 	}
 }
 
-// endRuns cancels the attempts of a request whose response has not begun. Whether it ran is not known then.
+// endRuns cancels the attempts of a request of whose response nothing has been sent. Whether it ran is not known then.
 func (x *exchange) endRuns() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.phase != phaseStart {
+	if x.phase != phaseStart && !x.collecting {
 		return
 	}
 	x.ending, x.cut = true, true
--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -191,6 +191,52 @@
 	}
 }
 
+// Guards against a request with an identity that ends with the process, without a response or a refusal, while its response is
+// read for the record, and against a record that contradicts the refusal.
+func TestRecordedRequestIsRefusedBeforeTheProcessEnds(t *testing.T) {
+	for _, c := range []struct {
+		name, response string
+	}{
+		{"no response", ""},
+		{"header", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"},
+		{"start of the body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nser"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			began, hold := make(chan struct{}, 1), make(chan struct{})
+			t.Cleanup(func() { close(hold) })
+			upstream := newRawUpstream(t, func(_ int64, conn net.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, c.response)
+					began <- struct{}{}
+					<-hold
+				}
+			})
+			claims := &memoryClaims{}
+			h := newHarness(t, testRoute(), []string{upstream.addr}, withPorts(func(p *Ports) { p.Claims = claims }))
+			replies := make(chan reply, 1)
+			go func() { replies <- h.do("POST", "/", nil, identity...) }()
+			<-began
+			time.Sleep(100 * time.Millisecond) // the response is read now
+			end := time.Now().Add(time.Second)
+			h.entry.SetEnd(end)
+			select {
+			case r := <-replies:
+				is.NoErr(r.err)
+				is.Equal(r.status, 502)
+				is.Equal(r.outcome(), string(Unknown))
+				is.True(time.Now().After(end.Add(-runMargin))) // it may be answered until then
+			case <-time.After(time.Until(end)):
+				t.Fatal("the process ends before the request has a response")
+			}
+			state, _, stored, err := claims.Begin(t.Context(), ClaimRequest{Identity: "\x00k1", Digest: claims.records["\x00k1"].digest})
+			is.NoErr(err)
+			is.Equal(state, ClaimUnknown) // a repeat is told the same
+			is.True(stored == nil)
+		})
+	}
+}
+
 func waitRunning(h *harness, n int64) {
 	h.t.Helper()
 	for h.entry.Running() < n {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -86,6 +86,8 @@
 	ending  bool               // see endWaits
 	cut     bool               // see endRuns
 	endWait context.CancelFunc // of waitContext; nil if there is no such wait
+	// collecting is set while the response is read to be recorded, before any of it is sent to the caller.
+	collecting bool
 
 	headerValues     [maxHeaderValues]string
 	headerValuesUsed int
@@ -368,17 +370,27 @@
 }
 
 // startResponse begins the response of an attempt, or reports false if the attempt has been cancelled before by the deadline or
-// because the process is about to end.
-func (x *exchange) startResponse(a *attempt) bool {
+// because the process is about to end. collect is set if the response is read to be recorded before it is sent.
+func (x *exchange) startResponse(a *attempt, collect bool) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if (x.expired || x.cut) && !a.whole {
 		return false
 	}
+	x.collecting = collect
 	x.watchLocked(phaseReading)
 	return true
 }
 
+// endCollecting ends the phase in which the response is collected. It reports false if the response is not complete and
+// its attempt has been cancelled because the process is about to end.
+func (x *exchange) endCollecting(complete bool) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.collecting = false
+	return complete || !x.cut
+}
+
 // pastResponseDeadline reports whether the deadline for the end of the response has passed.
 func (x *exchange) pastResponseDeadline() bool {
 	return !x.responseDeadline.IsZero() && !time.Now().Before(x.responseDeadline)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -79,7 +79,7 @@
 // repeated request finds it.
 func (x *exchange) sendResponse(a *attempt, t Ticket) *Refusal {
 	x.forbid1xx()
-	if !x.startResponse(a) {
+	if !x.startResponse(a, t != nil) {
 		x.maybeRan.Store(true)
 		a.end(EndTimedOut, false)
 		if t != nil {
