entry: don't count a recorded response as lost when its caller leaves

A request with an identity whose caller left while its response was read for the record counted as the loss of its upstream, for placement, observers and quarantine; so did one whose response made no progress. Any error of that read was reported as EndLost, whatever had cancelled the attempt. Responses that are streamed tell these cases apart.

The cause decides now in the same way: a stalled response is late, a cancelled attempt is cancelled, and only the rest are lost.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -143,7 +143,10 @@
 
 // collectEnding maps the cause of a failed read of the response to the Ending that is reported for the upstream.
 func (c *copier) collectEnding() Ending {
-	if errors.Is(context.Cause(c.a.ctx), errLeaving) {
+	switch cause := context.Cause(c.a.ctx); {
+	case errors.Is(cause, errStalled):
+		return EndTimedOut
+	case cause != nil:
 		return EndCancelled
 	}
 	return EndLost
--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -190,3 +192,57 @@
 	is.Equal(h.do("POST", "/", strings.NewReader("x"), HeaderDeadline, "60").status, 504)
 	is.Equal(fast.Counts().Requests, uint64(2)) // no copy of the POST
 }
+
+// Guards against an upstream that counts as lost because the caller left, or because the response stalled, while the response
+// was read for the record.
+func TestEndWhileAResponseIsRecorded(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stall time.Duration
+		leave bool
+		want  Ending
+	}{
+		{"caller left", time.Minute, true, EndCancelled},
+		{"stalled", 100 * time.Millisecond, false, EndTimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			began, hold := make(chan struct{}, 1), make(chan struct{})
+			t.Cleanup(func() { close(hold) })
+			u := newRawUpstream(t, func(_ int64, conn net.Conn) {
+				if _, err := readRequest(conn); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nser")
+					began <- struct{}{}
+					<-hold
+				}
+			})
+			ended := &endings{seen: make(chan struct{}, 10)}
+			claims := &memoryClaims{}
+			h := newHarness(t, testRoute(), []string{u.addr}, withPorts(func(p *Ports) { p.Claims, p.Observers = claims, []Observer{ended} }),
+				withTiming(func(s *timing) { s.responseStall = c.stall }))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.url, nil)
+			is.NoErr(err)
+			req.Header.Set(identity[0], identity[1])
+			go func() {
+				if resp, err := h.client.Do(req); err == nil {
+					_ = resp.Body.Close()
+				}
+			}()
+			<-began
+			time.Sleep(50 * time.Millisecond) // the response is read now
+			if c.leave {
+				cancel()
+			}
+			select {
+			case <-ended.seen:
+			case <-time.After(10 * time.Second):
+				t.Fatal("the attempt does not end")
+			}
+			ended.mu.Lock()
+			defer ended.mu.Unlock()
+			is.Equal(ended.list[0].Result.Ending, c.want)
+		})
+	}
+}
