entry: end each request on its own when the process ends

Shortly before the process ends, requests without a response were ended one after the other, each under its mutex. forward1xx holds that mutex while it writes a 1xx response, up to one second after the deadline of a request whose caller doesn't read. Such a request delayed the ends of all that came after it, and these got neither a response nor a refusal. This was found by reading; no caller is known to have met it.

Each request is now ended by a goroutine of its own.

--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -36,13 +36,13 @@
 	r.ended = true
 	r.mu.Unlock()
 	for _, x := range r.registered() {
-		x.endWaits()
+		go x.endWaits() // forward1xx may hold the mutex of a request for long
 	}
 }
 
 func (r *endingRequests) endRuns() {
 	for _, x := range r.registered() {
-		x.endRuns()
+		go x.endRuns() // as in endWaits
 	}
 }
 
--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -237,6 +237,34 @@
 	}
 }
 
+// Guards against requests that end with the process, without a refusal, because another one writes a 1xx response, under its
+// mutex, that its caller does not read.
+func TestBlockedRequestDelaysNoOtherEnd(t *testing.T) {
+	for name, end := range map[string]func(*endingRequests){"waits": (*endingRequests).endWaits, "runs": (*endingRequests).endRuns} {
+		t.Run(name, func(t *testing.T) {
+			var r endingRequests
+			blocked, others := &exchange{}, make([]*exchange, 64)
+			blocked.mu.Lock()
+			t.Cleanup(blocked.mu.Unlock)
+			r.add(blocked)
+			for i := range others {
+				others[i] = &exchange{}
+				r.add(others[i])
+			}
+			go end(&r)
+			deadline := time.Now().Add(5 * time.Second)
+			for _, x := range others {
+				for !x.isEnding() {
+					if time.Now().After(deadline) {
+						t.Fatal("a request has not been ended")
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}
+		})
+	}
+}
+
 func waitRunning(h *harness, n int64) {
 	h.t.Helper()
 	for h.entry.Running() < n {
