quarantine: sample requests whose losses are explained in part

Four copies of a request that had ended three upstreams ran within 80 ms, 5 s after the third, and ended two more.

Cause: two crashing requests ended an upstream that ran both. The one with more losses explains that loss, so the other had two of the three that are needed, and was a suspect only. Both upstreams that it was confined to were down; once they had started, all instances sent a copy before any knew the end of the first.

Change: a request with enough losses, of which another one explains some but not most, is sampled like one whose losses came together.

TestPartlyExplainedLossesAreSampled failed before.

--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -17,8 +17,9 @@
 	Serialize
 	// Refuse means that the request must not run.
 	Refuse
-	// Sample means that enough upstreams were lost, but at the same time, so that another cause is as likely. Of all
-	// instances together about one request at a time may run, as a suspect; its end decides.
+	// Sample means that enough upstreams were lost, but at the same time or in part under another request that lost more,
+	// so that another cause is as likely. Of all instances together about one request at a time may run, as a suspect;
+	// its end decides.
 	Sample
 	// Hold means that the request will be refused unless an answer that clears it is on its way. It waits for the decision.
 	Hold
@@ -44,6 +45,7 @@
 	refusedUntil time.Time
 	refusals     int
 	reported     bool // the refusal was learned from another instance
+	explained    bool // another request with more losses may have caused some of them, but not most
 	homeRegions  []string
 	expires      time.Time
 }
@@ -72,7 +74,7 @@
 		return Hold
 	case now.Before(r.refusedUntil):
 		return Refuse
-	case t.settings.Confine > 0 && !f.withoutBody() && len(r.losses) >= t.settings.MinLosses && !t.crashes(r.losses):
+	case t.settings.Confine > 0 && !f.withoutBody() && len(r.losses) >= t.settings.MinLosses && (r.explained || !t.crashes(r.losses)):
 		return Sample
 	}
 	return Serialize
@@ -188,6 +190,7 @@
 			most, next = len(r.losses), nil
 		}
 		rest := slices.DeleteFunc(slices.Clone(r.losses), func(l Loss) bool { return explained[l.Upstream] })
+		r.explained = len(rest) >= minSuccessive && len(rest) < t.settings.MinLosses
 		refused := now.Before(r.refusedUntil)
 		switch {
 		case t.crashes(rest):
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -132,6 +132,43 @@
 	is.Equal(table.Admit(now.Add(clearTime), crashing), Refuse)
 }
 
+// Guards against copies of a crashing request that all instances send at once, since the losses that count against it were
+// put down in part to another crashing request.
+func TestPartlyExplainedLossesAreSampled(t *testing.T) {
+	other, f := fingerprint(1), fingerprint(2)
+	for _, c := range []struct {
+		name      string
+		upstreams []int
+		want      Verdict
+	}{
+		{"two losses, none explained", []int{5, 6}, Serialize},
+		{"three losses, one explained", []int{4, 5, 6}, Sample},
+		{"three losses, two explained", []int{3, 4, 5}, Serialize},
+		{"four losses, two explained", []int{3, 4, 5, 6}, Hold}, // not fewer than the other one
+		{"three losses, none explained", []int{5, 6, 7}, Hold},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			table, now := NewTable(fleetSettings()), start.Add(time.Second)
+			lose := func(f Fingerprint, u int) {
+				l := loss(u, time.Duration(u)*50*time.Millisecond)
+				l.Began = l.At.Add(-10 * time.Millisecond)
+				table.RecordLoss(now, f, l, nil)
+			}
+			for u := range 4 {
+				lose(other, u+1)
+			}
+			for _, u := range c.upstreams {
+				lose(f, u)
+			}
+			is.Equal(table.Admit(now, other), Hold)
+			is.Equal(table.Admit(now, f), c.want)
+			is.True(table.RecordSuccess(now, f, now, nil))
+			is.Equal(table.Admit(now, f), Run)
+		})
+	}
+}
+
 // Guards against a refusal that a loss of another request prolongs at its end.
 func TestLossOfAnotherRequestDoesNotProlongARefusal(t *testing.T) {
 	is := is.New(t)
