entry: plan a second copy without waiting for quarantine

By reading: a response that arrived while quarantine held its request waited for up to 250 ms more, and where the request waited for a unit of its pool's suspects, until its deadline.

Cause: before a second copy is planned, the entry asks quarantine whether the request has become a suspect, and reads no result of the first copy meanwhile. Quarantine may hold that question like a new request.

Change: the question does not wait; a request that would have to is a suspect, and gets no second copy.

--- a/internal/entry/hedge_test.go
+++ b/internal/entry/hedge_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,3 +168,52 @@
 	s.held++
 	return Admission{Suspect: s.admitted > 1, Done: func() { s.mu.Lock(); s.held--; s.mu.Unlock() }}, true
 }
+
+// holdingQuarantine admits a request once and holds it then.
+type holdingQuarantine struct {
+	noQuarantine
+	admitted atomic.Bool
+}
+
+// Admit implements Quarantine.
+func (q *holdingQuarantine) Admit(ctx context.Context, _ *table.Route, _ Fingerprint) (Admission, bool) {
+	if q.admitted.CompareAndSwap(false, true) {
+		return Admission{Done: func() {}}, true
+	}
+	<-ctx.Done()
+	return Admission{}, false
+}
+
+// askedPlanner tells when it is asked for a plan, and never sends a second copy.
+type askedPlanner struct {
+	scriptedPlanner
+	asked   chan struct{}
+	suspect atomic.Bool
+}
+
+// Plan implements HedgePlanner.
+func (p *askedPlanner) Plan(r HedgeRequest) HedgePlan {
+	p.suspect.Store(r.Suspect)
+	close(p.asked)
+	return HedgePlan{}
+}
+
+// Guards against a response that waits for the decision on a second copy while quarantine holds the request.
+func TestResponseDoesNotWaitWhileQuarantineHoldsTheRequest(t *testing.T) {
+	is := is.New(t)
+	planner := &askedPlanner{asked: make(chan struct{})}
+	up := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-planner.asked:
+			_, _ = w.Write([]byte("ok"))
+		case <-r.Context().Done():
+		}
+	}))
+	h := newHarness(t, testRoute(), []string{up}, withPorts(func(p *Ports) {
+		p.Hedger, p.Quarantine = planner, &holdingQuarantine{}
+	}))
+	begin := time.Now()
+	is.Equal(h.do("GET", "/", nil).body, "ok")
+	is.True(time.Since(begin) < testRoute().Deadline.Std()/2)
+	is.True(planner.suspect.Load())
+}
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -234,10 +234,11 @@
 }
 
 // becameSuspect reports whether an upstream was lost under the request since it was admitted, for instance one that another
-// caller's copy of it was sent to. A second copy could end another upstream.
+// caller's copy of it was sent to. A second copy could end another upstream. It does not wait: a request that is held or
+// has to wait is a suspect.
 func (x *exchange) becameSuspect() bool {
-	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
-	defer cancel()
+	ctx, cancel := context.WithCancel(x.r.Context())
+	cancel()
 	admission, ok := x.e.ports.Quarantine.Admit(ctx, &x.route, x.fingerprint)
 	if ok {
 		admission.Done()
