--- a/internal/entry/expiry_test.go
+++ b/internal/entry/expiry_test.go
@@ -44,7 +44,7 @@
 						if r.err != nil {
 							t.Error(r.status, r.err)
 						} else if r.status != http.StatusGatewayTimeout && len(r.body) != size {
-							t.Error(r.status, len(r.body))
+							t.Error(r.status, len(r.body), r.outcome(), r.body[:min(len(r.body), 200)])
 						}
 					}
 				})
