entry: announce the close of HTTP/2 connections while HTTP/1 requests run

What callers saw: while an instance left, an idle HTTP/2 connection got no GOAWAY for as long as a request of HTTP/1 was running, which may be until the process ends. A request that crossed that end got neither a response nor a refusal, and its caller could not know whether it ran.

Cause: the close is announced by http.Server.Shutdown, which is called when no connection of HTTP/1 is left or the time of the shutdown is over.

Change: since each HTTP/2 connection has a server of its own, the closes are announced a second after the instance has stopped accepting, the time that is left to the first request on a new connection.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -301,12 +301,14 @@
 const (
 	// closeInterval is the time between two looks at the connections of callers while the instance leaves.
 	closeInterval = 10 * time.Millisecond
-	// newConnWait is the time for the first request on a new connection to arrive while the instance leaves.
+	// newConnWait is the time for the first request on a new connection to arrive while the instance leaves. Then the close of
+	// connections of HTTP/2 is announced.
 	newConnWait = time.Second
 )
 
 // closeCallers closes connections as they become idle, until only those of HTTP/2 are left. http.Server.Shutdown would drop
-// requests of HTTP/1.1 that were read and not handled yet, so it is called when there are none.
+// requests of HTTP/1.1 that were read and not handled yet, so it is called when there are none. Those that run may last until
+// the process ends, so connections of HTTP/2 learn earlier that they end.
 func (e *Entry) closeCallers(ctx context.Context) {
 	tick := time.NewTicker(closeInterval)
 	defer tick.Stop()
@@ -320,6 +322,7 @@
 			return
 		case <-newClosed:
 			phases = append(phases, callers.PhaseNew)
+			e.http2.shutdown()
 		case <-tick.C:
 		}
 	}
--- a/internal/entry/http2.go
+++ b/internal/entry/http2.go
@@ -71,7 +71,7 @@
 // announce does not wait for the connection, which own has not accepted itself.
 func announce(own *http.Server) { _ = own.Shutdown(context.Background()) }
 
-// shutdown announces the close of all connections.
+// shutdown announces the close of all connections, including those that begin to be served later. It may be called more than once.
 func (h *http2Conns) shutdown() {
 	h.stopping.Store(true)
 	h.mu.Lock()
--- a/internal/entry/http2_closing_test.go
+++ b/internal/entry/http2_closing_test.go
@@ -89,21 +89,30 @@
 // Guards against connections of HTTP/2 that end without GOAWAY, after which callers cannot tell whether a request ran that
 // they have just sent.
 func TestCloseOfHTTP2ConnectionIsAnnounced(t *testing.T) {
-	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }))
+	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, _ = io.WriteString(w, "served"); r.URL.Path == "/endless" {
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}
+	}))
 	files := tlstest.Files(t, "entry")
 	files.CA = "" // with a CA, callers would need certificates
 	unchanged, nothing := func(*settings.Settings) {}, func(*testing.T, *harness) {}
+	shutdown := func(t *testing.T, h *harness) {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second) // longer than the caller reads
+		t.Cleanup(cancel)
+		go func() { _ = h.entry.Shutdown(ctx) }()
+	}
 	for _, c := range []struct {
 		name   string
 		set    func(*settings.Settings)
 		before func(*testing.T, *harness) // the caller connects
 		closes func(*testing.T, *harness)
 	}{
-		{"shutdown", unchanged, nothing, func(t *testing.T, h *harness) {
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-			t.Cleanup(cancel)
-			go func() { _ = h.entry.Shutdown(ctx) }()
-		}},
+		{"shutdown", unchanged, nothing, shutdown},
+		{"shutdown while a request of HTTP/1 runs", unchanged, func(t *testing.T, h *harness) {
+			beginEndless(t, h.addr, h.entry.cfg.Callers.TLS != nil)
+		}, shutdown},
 		{"idle timeout", func(s *settings.Settings) { s.Limits.IdleTimeout = table.Duration(300 * time.Millisecond) }, nothing, nothing},
 		{"idle timeout of the tables", unchanged, func(_ *testing.T, h *harness) {
 			tables := *h.tables.Snapshot()
@@ -137,6 +146,20 @@
 	}
 }
 
+// beginEndless sends a request of HTTP/1 on a connection of its own and reads the start of its response, which does not end.
+func beginEndless(t *testing.T, address string, encrypted bool) {
+	t.Helper()
+	is := is.New(t)
+	var c net.Conn = dialCaller(t, address)
+	if encrypted {
+		c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+	}
+	_, err := io.WriteString(c, "GET /endless HTTP/1.1\r\nHost: a\r\n\r\n")
+	is.NoErr(err)
+	_, err = c.Read(make([]byte, 1))
+	is.NoErr(err)
+}
+
 // send sends a request whose frame header arrives before its contents, which are not compressed.
 func (c *framesCaller) send(path string) {
 	c.t.Helper()
