callers: keep an announced connection while net/http processes its bytes

By reading: at the bound of announced connections, the oldest of them is closed at once, which can be microseconds after its announcement. A request that net/http had read before it handled the announcement, and had not reported yet, was run, and its connection was closed without the response.

Cause: of a connection whose close was announced, only the phase was looked at, although bytes delivered before GOAWAY may be a request.

Change: it is closed under the same condition as others, except that bytes that have arrived and were not read do not keep it.

The race itself was not reproduced over the network.

--- a/internal/callers/http2.go
+++ b/internal/callers/http2.go
@@ -74,13 +74,10 @@
 	}
 }
 
-// retireAnnounced is retire for a connection whose close was announced. Bytes that arrive after GOAWAY are no request.
+// retireAnnounced is retire for a connection whose close was announced. Bytes that arrive after GOAWAY are no request, but those
+// that net/http has not processed yet may be one that was read before.
 func (c *Conn) retireAnnounced() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.retired || c.ended || c.phase == PhaseActive || c.settlesAt.After(time.Now()) {
-		return false
-	}
-	c.retired = true
-	return true
+	return !c.ended && c.retireLocked()
 }
--- a/internal/callers/http2_test.go
+++ b/internal/callers/http2_test.go
@@ -46,3 +46,31 @@
 		})
 	}
 }
+
+// Guards against closing a connection that was just announced while a request that was read before is not known yet: net/http runs
+// it, and GOAWAY names it as one that is answered.
+func TestAnnouncedConnectionWithBytesInProcessIsKept(t *testing.T) {
+	is := is.New(t)
+	s, _ := testSections(1 << 20)
+	conn, client := tcpPipe(t, s)
+	conn.SetHTTP2(func() {})
+	conn.Enter(PhaseActive)
+	conn.Enter(PhaseIdle)
+	time.Sleep(settleTime)
+	_, err := io.WriteString(client, "frame")
+	is.NoErr(err)
+	_, err = conn.Read(make([]byte, 10))
+	is.NoErr(err)
+	conn.announceFor(ReasonReplaced)
+	is.True(!conn.retireAnnounced()) // net/http may be about to run the frame's request
+	ended := make(chan error, 1)
+	go func() {
+		_, err := conn.Read(make([]byte, 10))
+		ended <- err
+	}()
+	for start := time.Now(); !conn.retireAnnounced(); time.Sleep(time.Millisecond) {
+		is.True(time.Since(start) < 10*time.Second)
+	}
+	is.NoErr(conn.Close())
+	is.True(<-ended != nil)
+}
