docs: idle timeout, grace and HTTP/2 connections as they are now

The ports of entry now state that Admit does not wait if its context has ended, which becameSuspect relies on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -233,14 +233,14 @@
 	}
 }
 
-// SetLeaving adds "Connection: close" to every response, so that callers open their
+// SetLeaving adds "Connection: close" to every response that begins from now on, so that callers open their
 // next connection elsewhere. It is called when the shutdown notice period starts,
 // while the instance still accepts requests.
 func (e *Entry) SetLeaving() { e.leaving.Store(true) }
 
 // SetEnd sets when the process ends at the latest, whatever still runs. Requests that may last longer are refused
-// from now on, since their callers can still turn to other instances. Those that still wait, or whose response has not begun,
-// when the process is about to end are refused then.
+// from now on, since their callers can still turn to other instances. Those that still wait, or of whose response nothing was
+// sent, when the process is about to end are refused then.
 func (e *Entry) SetEnd(at time.Time) {
 	e.endsAt.Store(&at)
 	e.ending.endAt(at.Add(-endMargin), at.Add(-runMargin))
--- a/internal/entry/idle.go
+++ b/internal/entry/idle.go
@@ -35,8 +35,8 @@
 
 // idleConns closes callers' connections that are idle for longer than the limit in
 // force. The idle timeout of http.Server is fixed at the start, while operators can
-// change the limit in the tables. Connections of HTTP/2 are left to http.Server while its limit is in force. The close of
-// the others is announced with GOAWAY.
+// change the limit in the tables. Connections of HTTP/2 are left to http.Server while its limit is in force. If the limit in
+// force is lower, their close is announced with GOAWAY.
 type idleConns struct {
 	own   time.Duration // the limit of http.Server
 	limit func() time.Duration
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -209,7 +209,8 @@
 // Quarantine refuses requests that coincide with the loss of upstreams.
 type Quarantine interface {
 	// Admit reports whether the request may be sent to an upstream. It may wait
-	// until ctx ends. If ok is true, admission.Done is called when the request has ended.
+	// until ctx ends, and does not wait if ctx has ended before. If ok is true, admission.Done is called when the request has
+	// ended.
 	Admit(ctx context.Context, route *table.Route, f Fingerprint) (admission Admission, ok bool)
 	// Suspected reports whether an upstream was lost under a request that differs from this one at most in its body.
 	Suspected(route *table.Route, f Fingerprint) bool
