entry: a record that cannot be written delays no response beyond the end

What callers saw: a request with an identity got neither a response nor a refusal if its at-most-once record could not be written when the process ended.

Cause: the record is written before the response or the refusal is sent, for up to 2 s, while runs end 300 ms before the process.

Change: the write ends 150 ms before the process does. The claim stays taken without the record, as after a write that timed out, so a repeat does not run the request again. A write that began before the end was known keeps its 2 s.

TestRecordsThatCannotBeWrittenDelayNoResponseBeyondTheEnd failed in 6 of 6 cases of 3 runs before ("the process ends before the request has a response") and passes in 6 of 6. The tests of records, claims and the end of the process in internal/entry pass with -race; the whole package was not run.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -72,9 +72,14 @@
 }
 
 // recordContext returns a context that is not cancelled when the caller disconnects, because a caller
-// that lost its connection may repeat the request and needs the record.
+// that lost its connection may repeat the request and needs the record. It ends early enough for the response to be sent before
+// the process ends; without the record, the claim stays taken.
 func (x *exchange) recordContext() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.WithoutCancel(x.r.Context()), recordTimeout)
+	until := time.Now().Add(recordTimeout)
+	if end := x.e.endsAt.Load(); end != nil && end.Add(-recordMargin).Before(until) {
+		until = end.Add(-recordMargin)
+	}
+	return context.WithDeadline(context.WithoutCancel(x.r.Context()), until)
 }
 
 // replay sends a stored response.
--- a/internal/entry/ending_test.go
+++ b/internal/entry/ending_test.go
@@ -272,3 +272,61 @@
 	}
 	time.Sleep(100 * time.Millisecond) // it waits now
 }
+
+// silentRecords is a Claims whose records cannot be written: each write waits until its context ends.
+type silentRecords struct{ memoryClaims }
+
+type silentTicket struct{ Ticket }
+
+func (c *silentRecords) Begin(ctx context.Context, r ClaimRequest) (ClaimState, Ticket, *StoredResponse, error) {
+	state, t, stored, err := c.memoryClaims.Begin(ctx, r)
+	return state, silentTicket{t}, stored, err
+}
+
+func (silentTicket) Finish(ctx context.Context, _ *StoredResponse) error { return silence(ctx) }
+func (silentTicket) NotRun(ctx context.Context) error                    { return silence(ctx) }
+func (silentTicket) Unknown(ctx context.Context) error                   { return silence(ctx) }
+
+func silence(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against a response or a refusal that comes too late because a record cannot be written when the process ends.
+func TestRecordsThatCannotBeWrittenDelayNoResponseBeyondTheEnd(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		after  time.Duration // of the response, from the time at which the end is set
+		status int
+	}{
+		{"refusal", time.Minute, 502},
+		{"response", 200 * time.Millisecond, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			began, respond := make(chan struct{}, 1), make(chan struct{})
+			upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				began <- struct{}{}
+				select {
+				case <-respond:
+				case <-r.Context().Done():
+				}
+			}))
+			h := newHarness(t, testRoute(), []string{upstream}, withPorts(func(p *Ports) { p.Claims = &silentRecords{} }))
+			replies := make(chan reply, 1)
+			go func() { replies <- h.do("POST", "/", nil, identity...) }()
+			<-began
+			end := time.Now().Add(time.Second)
+			h.entry.SetEnd(end)
+			timer := time.AfterFunc(c.after, func() { close(respond) })
+			defer timer.Stop()
+			select {
+			case r := <-replies:
+				is.NoErr(r.err)
+				is.Equal(r.status, c.status)
+			case <-time.After(time.Until(end)):
+				t.Fatal("the process ends before the request has a response")
+			}
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -253,6 +253,9 @@
 	// runMargin is kept for the refusals of requests at which an upstream is at work. Their work is lost, so it is shorter, but it
 	// outlasts the delays of goroutines on a busy machine.
 	runMargin = 300 * time.Millisecond
+	// recordMargin is kept after the last write of an at-most-once record, before which no response is sent. It is a part of
+	// runMargin.
+	recordMargin = runMargin / 2
 )
 
 // endsBefore reports whether the process may end before the given time.
