--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -40,9 +40,7 @@
 func TestInstanceIsNotReadyBeforeItListens(t *testing.T) {
 	is := is.New(t)
 	store := platformtest.NewStore()
-	store.Put("op/config", `{"version":1,"base_version":0,"resources":[{"type":"routes","metadata":{"name":"read"},"spec":
-{"host":"a.example","path_prefix":"/","kind":"safe","timeout":"2s","target_latency":"400ms","priority":2,"service":"s1","max_attempts":3,"allowed_regions":[]}},
-{"type":"services","metadata":{"name":"s1"},"spec":{"health_path":"/health","max_conns":260,"warmup":"3s","warmup_per_s":7.0}}]}`)
+	store.PutMinimalConfig()
 	storeServer := httptest.NewServer(store)
 	defer storeServer.Close()
 	cfg, err := settings.Parse([]byte(fmt.Sprintf(`{"instance":"e1","region":"north","failure_domain":"n1","regions":["north"],
