entry: treat a response whose status is out of range as lost

Callers of an upstream that answered with status 000 saw their connection or stream end without an answer. Statuses 600 to 999 were passed on.

Cause: net/http takes any three characters that strconv.Atoi accepts as a status. The attempt was classified and observed, its claims were believed, and http.ResponseWriter.WriteHeader then panicked (below 100) or sent it.

The new package respcheck checks a response before anything else looks at it. An attempt whose response is malformed has no response: it ends as lost, is retried if it may be, otherwise refused with 502 and the outcome "unknown"; its connection is closed, the log line of the attempt names the reason and turmericsail_malformed_responses_total counts it. The request counts as sent, since a response may arrive before the request's first byte is written.

Evidence: 56 of 66 cases of TestMalformedResponseIsALostOne, TestRetriesOfMalformedResponsesHaveTheirBudget and TestMalformedResponseIsLoggedAndCounted failed before, with "EOF", "stream error: INTERNAL_ERROR", "999 != 502" and "0 != 502"; the others are statuses that net/http refuses itself (0x0, 20). All pass now. TestRequestMayStillBeWrittenAfterAMalformedResponse failed without its line in roundTrip ("not true: sent").

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"runtime"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/turmericsail/turmericsail/internal/socket"
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // countedConn counts the bytes written to the operating system's socket. A count
@@ -60,6 +62,7 @@
 type upstreamConn struct {
 	client    *http.ClientConn
 	counted   *countedConn
+	source    respcheck.Source
 	pool      *connPool
 	reused    bool
 	idleSince time.Time
@@ -69,8 +72,10 @@
 // of the request may have reached the upstream.
 func (c *upstreamConn) roundTrip(req *http.Request) (resp *http.Response, sent bool, err error) {
 	before := c.counted.sent.Load()
-	resp, err = c.client.RoundTrip(req)
-	return resp, c.counted.sent.Load() != before, err
+	resp, err = c.source.RoundTrip(c.client, req)
+	// After a malformed response, the request may still be written until the connection is closed.
+	sent = c.counted.sent.Load() != before || errors.Is(err, respcheck.ErrMalformed)
+	return resp, sent, err
 }
 
 // isSilent reports whether nothing has arrived since the last response. Bytes after it, as of a second response, would be
@@ -132,7 +137,7 @@
 }
 
 func (d *dialer) dial(ctx context.Context, address string, pool *connPool) (*upstreamConn, error) {
-	c := &upstreamConn{pool: pool}
+	c := &upstreamConn{pool: pool, source: respcheck.Upstream}
 	client, err := d.transport.NewClientConn(context.WithValue(ctx, dialedKey{}, c), "http", address)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/entry/malformed_test.go
@@ -0,0 +1,211 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr/funcr"
+	"github.com/matryer/is"
+
+	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
+)
+
+// claims is a part of the header of a malformed response, which states that the request did not run and that the upstream is idle.
+const claims = "Turmericsail-Outcome: not-run\r\nTurmericsail-Load: in_flight=0, slots=9, state=ok\r\nRetry-After: 7\r\n"
+
+// malformedResponses are responses that must not reach callers, by what is malformed. Their body is "wrong".
+var malformedResponses = map[string]string{
+	"status 000":                 "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status 000 and no body":     "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
+	"status 000 and no length":   "HTTP/1.1 000 X\r\n" + claims + "\r\nwrong",
+	"status 000 in chunks":       "HTTP/1.1 000 X\r\n" + claims + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+	"status 000 and a close":     "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\nConnection: close\r\n\r\nwrong",
+	"status without a reason":    "HTTP/1.1 000\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status below 100":           "HTTP/1.1 099 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status with a plus sign":    "HTTP/1.1 +20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status with a minus sign":   "HTTP/1.1 -00 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status above 599":           "HTTP/1.1 600 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status above 599, no body":  "HTTP/1.1 999 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
+	"status that is hexadecimal": "HTTP/1.1 0x0 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status of two digits":       "HTTP/1.1 20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+}
+
+// malformedUpstream sends the same malformed response to each request and keeps its connections open.
+type malformedUpstream struct {
+	*rawUpstream
+	requests atomic.Int64
+}
+
+func newMalformedUpstream(t testing.TB, response string) *malformedUpstream {
+	u := &malformedUpstream{}
+	u.rawUpstream = newRawUpstream(t, func(_ int64, c net.Conn) {
+		serveRequests(c, func(int, *http.Request) string { u.requests.Add(1); return response })
+	})
+	return u
+}
+
+// observations keeps what is observed of one upstream.
+type observations struct {
+	upstream string
+	mu       sync.Mutex
+	list     []Observation
+}
+
+// Observe implements Observer.
+func (o *observations) Observe(seen *Observation) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if seen.Upstream.ID == o.upstream {
+		o.list = append(o.list, *seen)
+	}
+}
+
+func (o *observations) all() []Observation {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]Observation(nil), o.list...)
+}
+
+// callersOf returns clients that speak HTTP/1.1 and HTTP/2.
+func callersOf(t *testing.T) map[string]*http.Client {
+	h2c := new(http.Protocols)
+	h2c.SetUnencryptedHTTP2(true)
+	clients := map[string]*http.Client{"HTTP/1.1": {Transport: &http.Transport{}}, "HTTP/2": {Transport: &http.Transport{Protocols: h2c}}}
+	for _, client := range clients {
+		t.Cleanup(client.CloseIdleConnections)
+	}
+	return clients
+}
+
+// Guards against a malformed response that reaches a caller, that ends the caller's connection without an answer, whose claims
+// are believed, which counts in favour of its upstream, or whose connection is used again.
+func TestMalformedResponseIsALostOne(t *testing.T) {
+	for name, response := range malformedResponses {
+		for protocol, client := range callersOf(t) {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				t.Run(name+"/"+protocol+"/"+method, func(t *testing.T) {
+					is := is.New(t)
+					bad, seen := newMalformedUpstream(t, response), &observations{upstream: "u1"}
+					route := testRoute()
+					route.Retry.MaxAttempts, route.Retry.BudgetPercent = 2, 100
+					h := newHarness(t, route, []string{bad.addr, serveUpstream(t, served)},
+						withPorts(func(p *Ports) { p.Placement, p.Observers = &inOrder{}, []Observer{seen} }))
+					h.client = client
+					const requests = 3
+					for range requests {
+						r := h.do(method, "/", nil)
+						is.NoErr(r.err)
+						is.True(!strings.Contains(r.body, "wrong"))
+						is.Equal(r.header.Get(HeaderLoad), "")
+						if method == http.MethodGet { // may be repeated
+							is.Equal(r.status, 200)
+							is.Equal(r.body, "served")
+							continue
+						}
+						is.Equal(r.status, 502)
+						is.Equal(r.outcome(), string(Unknown)) // it may have run
+						is.Equal(r.header.Get("Retry-After"), "")
+					}
+					is.Equal(bad.requests.Load(), int64(requests)) // and none is repeated there
+					is.Equal(bad.conns.Load(), int64(requests))
+					list := seen.all()
+					is.Equal(len(list), requests) // none when the response arrived
+					for _, o := range list {
+						is.Equal(o.Result.Ending, EndLost)
+						is.Equal(o.Result.Status, 0)
+						is.Equal(o.Load, "")
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a malformed response that is repeated beyond the retry budget, or that the caller gets when there is no other one.
+func TestRetriesOfMalformedResponsesHaveTheirBudget(t *testing.T) {
+	for name, response := range malformedResponses {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var upstreams []*malformedUpstream
+			var addresses []string
+			for range 3 {
+				u := newMalformedUpstream(t, response)
+				upstreams, addresses = append(upstreams, u), append(addresses, u.addr)
+			}
+			route := testRoute()
+			route.Retry.MaxAttempts, route.Retry.BudgetPercent = 2, 100
+			h := newHarness(t, route, addresses, withPorts(func(p *Ports) { p.Placement = &inOrder{} }))
+			r := h.do("GET", "/", nil)
+			is.NoErr(r.err)
+			is.Equal(r.status, 502)
+			is.Equal(r.outcome(), string(Unknown))
+			is.Equal([]int64{upstreams[0].requests.Load(), upstreams[1].requests.Load(), upstreams[2].requests.Load()}, []int64{1, 1, 0})
+		})
+	}
+}
+
+// Guards against a malformed response that leaves no trace for operators.
+func TestMalformedResponseIsLoggedAndCounted(t *testing.T) {
+	for _, c := range []struct{ response, metric, message string }{
+		{"status 000", "status", "malformed response: status 000"},
+	} {
+		t.Run(c.response, func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			var messages []string
+			log := funcr.NewJSON(func(line string) {
+				var fields struct{ Msg, Error string }
+				if err := json.Unmarshal([]byte(line), &fields); err == nil && fields.Msg == "attempt" {
+					mu.Lock()
+					defer mu.Unlock()
+					messages = append(messages, fields.Error)
+				}
+			}, funcr.Options{})
+			counter := metrics.GetOrCreateCounter(`turmericsail_malformed_responses_total{source="upstream",reason="` + c.metric + `"}`)
+			before := counter.Get()
+			h := newHarness(t, testRoute(), []string{newMalformedUpstream(t, malformedResponses[c.response]).addr},
+				withSettings(func(s *settings.Settings) { s.Log.Requests = true }), withEntry(func(e *Entry) { e.log = log }))
+			is.Equal(h.do("POST", "/", nil).status, 502)
+			mu.Lock()
+			defer mu.Unlock()
+			is.Equal(messages, []string{c.message})
+			is.Equal(counter.Get(), before+1)
+		})
+	}
+}
+
+// Guards against a false not-run outcome if a malformed response arrives before the first byte of the request is written.
+func TestRequestMayStillBeWrittenAfterAMalformedResponse(t *testing.T) {
+	is := is.New(t)
+	writing, returned := make(chan struct{}), make(chan struct{})
+	u := newRawUpstream(t, func(_ int64, c net.Conn) {
+		<-writing
+		_, _ = io.WriteString(c, malformedResponses["status 000"])
+		_, _ = io.Copy(io.Discard, c)
+	})
+	conn, err := net.Dial("tcp", u.addr)
+	is.NoErr(err)
+	c, err := newRelayDialer(maxResponseHeader).wrap(t.Context(), conn)
+	is.NoErr(err)
+	defer c.client.Close()
+	defer close(returned)
+	var once sync.Once
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { once.Do(func() { close(writing); <-returned }) },
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://relay/", nil)
+	is.NoErr(err)
+	_, sent, err := c.roundTrip(req)
+	is.True(errors.Is(err, respcheck.ErrMalformed))
+	is.True(sent)
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -89,7 +90,7 @@
 		return nil, err
 	}
 	single := &connPool{limit: 1, open: 1, retired: true}
-	return &upstreamConn{client: client, counted: counted, pool: single}, nil
+	return &upstreamConn{client: client, counted: counted, source: respcheck.Relay, pool: single}, nil
 }
 
 // streamListener is a net.Listener that accepts streams opened by other entries.
--- /dev/null
+++ b/pkg/respcheck/respcheck.go
@@ -0,0 +1,61 @@
+// Package respcheck rejects malformed HTTP responses that net/http accepts.
+package respcheck
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// ErrMalformed is wrapped by the errors for malformed responses. The request may have run, whatever the response says.
+var ErrMalformed = errors.New("malformed response")
+
+// Source names the kind of server that sends the responses. It is a label of the metric.
+type Source string
+
+// Sources of responses.
+const (
+	Upstream Source = "upstream"
+	Relay    Source = "relay" // another instance that serves a relayed request
+)
+
+// reason is what is malformed. It is a label of the metric.
+type reason string
+
+const reasonStatus reason = "status"
+
+// Other statuses are invalid (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// RoundTrip sends a request and returns an error that wraps ErrMalformed if the response is malformed. The connection must not
+// be used again then, and the request may still be being written to it.
+func (s Source) RoundTrip(base http.RoundTripper, req *http.Request) (*http.Response, error) {
+	resp, err := base.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// check returns an error if the status or the header is malformed.
+func (s Source) check(resp *http.Response) error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return s.malformed(reasonStatus, fmt.Sprintf("status %03d", resp.StatusCode))
+	}
+	return nil
+}
+
+// malformed counts a malformed response and returns the error for it.
+func (s Source) malformed(r reason, detail string) error {
+	metrics.GetOrCreateCounter(fmt.Sprintf("turmericsail_malformed_responses_total{source=%q,reason=%q}", s, r)).Inc()
+	return fmt.Errorf("%w: %s", ErrMalformed, detail)
+}
