entry: treat a response with an invalid field name as lost

Callers got responses in whose header a field name held a blank: without that line, and with a body that was not the upstream's where the line was "Content-Length : 5" or "Transfer-Encoding : chunked" (surplus bytes and chunk sizes included, and no end while the upstream kept its connection open). A refusal with such a line was believed to be "not-run".

Cause: net/textproto accepts blanks in field names and does not canonicalize such names, so net/http neither finds the framing in them nor refuses them.

respcheck now checks every name with httpguts.ValidHeaderFieldName, before the framing or a claim of the response is used. The error names the byte only, since the rest of the name may be part of a body or a secret.

--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -23,6 +23,8 @@
 // claims is a part of the header of a malformed response, which states that the request did not run and that the upstream is idle.
 const claims = "Turmericsail-Outcome: not-run\r\nTurmericsail-Load: in_flight=0, slots=9, state=ok\r\nRetry-After: 7\r\n"
 
+const okHead = "HTTP/1.1 200 OK\r\n" + claims
+
 // malformedResponses are responses that must not reach callers, by what is malformed. Their body is "wrong".
 var malformedResponses = map[string]string{
 	"status 000":                 "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
@@ -38,16 +40,43 @@
 	"status above 599, no body":  "HTTP/1.1 999 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
 	"status that is hexadecimal": "HTTP/1.1 0x0 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
 	"status of two digits":       "HTTP/1.1 20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+
+	"blank in a name":                okHead + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in a name and no body":    okHead + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank before a colon":           okHead + "X-Y : 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank before an empty value":    okHead + "Content-Length: 5\r\nX : \r\n\r\nwrong",
+	"blanks in a name, folded value": okHead + "Content-Length: 5\r\nX: 1\r\n  : 1\r\n : 2\r\nY  Z:\r\n\r\nwrong",
+	"blank in a refusal":             "HTTP/1.1 503 X\r\n" + claims + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in a refusal, no body":    "HTTP/1.1 503 X\r\n" + claims + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank in an error":              "HTTP/1.1 404 X\r\n" + claims + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank after Content-Length":     okHead + "Content-Length : 5\r\n\r\nwrong, surplus",
+	"blank after Transfer-Encoding":  okHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+	"blank after the second length":  okHead + "Content-Length: 5\r\nContent-Length : 9\r\n\r\nwrong",
+	"blank after the load":           "HTTP/1.1 200 OK\r\nTurmericsail-Load : slots=9\r\nContent-Length: 5\r\n\r\nwrong",
+	"no content":                     "HTTP/1.1 204 X\r\n" + claims + "X Y: 1\r\n\r\n",
+
+	"NUL in a name":           okHead + "X\x00Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"DEL in a name":           okHead + "X\x7fY: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"CR in a name":            okHead + "X\rY: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"tab in a name":           okHead + "X\tY: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"tab before a colon":      okHead + "X-Y\t: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"ESC in a name":           okHead + "X\x1b[1mY: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"slash in a name":         okHead + "X/Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"byte over 127 in a name": okHead + "X\xffY: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"empty name":              okHead + ": 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"NUL in a value":          okHead + "X: 1\x002\r\nContent-Length: 5\r\n\r\nwrong",
+	"line without a colon":    okHead + "X\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in the first line": "HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 5\r\n\r\nwrong",
 }
 
-// malformedUpstream sends the same malformed response to each request and keeps its connections open.
-type malformedUpstream struct {
+// fixedUpstream sends the same response to each request and keeps its connections open.
+type fixedUpstream struct {
 	*rawUpstream
 	requests atomic.Int64
 }
 
-func newMalformedUpstream(t testing.TB, response string) *malformedUpstream {
-	u := &malformedUpstream{}
+func newFixedUpstream(t testing.TB, response string) *fixedUpstream {
+	u := &fixedUpstream{}
 	u.rawUpstream = newRawUpstream(t, func(_ int64, c net.Conn) {
 		serveRequests(c, func(int, *http.Request) string { u.requests.Add(1); return response })
 	})
@@ -95,7 +124,7 @@
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
 				t.Run(name+"/"+protocol+"/"+method, func(t *testing.T) {
 					is := is.New(t)
-					bad, seen := newMalformedUpstream(t, response), &observations{upstream: "u1"}
+					bad, seen := newFixedUpstream(t, response), &observations{upstream: "u1"}
 					route := testRoute()
 					route.Retry.MaxAttempts, route.Retry.BudgetPercent = 2, 100
 					h := newHarness(t, route, []string{bad.addr, serveUpstream(t, served)},
@@ -136,10 +165,10 @@
 	for name, response := range malformedResponses {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var upstreams []*malformedUpstream
+			var upstreams []*fixedUpstream
 			var addresses []string
 			for range 3 {
-				u := newMalformedUpstream(t, response)
+				u := newFixedUpstream(t, response)
 				upstreams, addresses = append(upstreams, u), append(addresses, u.addr)
 			}
 			route := testRoute()
@@ -154,10 +183,46 @@
 	}
 }
 
+// Guards against refusing responses that are unusual and well-formed.
+func TestUnusualResponsesArePassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		response    string
+		status      int
+		field, want string
+	}{
+		"lowest status":     {"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok", 200, "", ""},
+		"status of no name": {"HTTP/1.1 299 X\r\nContent-Length: 2\r\n\r\nok", 299, "", ""},
+		"highest status":    {"HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nok", 599, "", ""},
+		"all token bytes":   {"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok", 200, "!#$%&'*+-.^_`|~09azAZ", "1"},
+		"folded value":      {"HTTP/1.1 200 OK\r\nX: 1\r\n : 2\r\nContent-Length: 2\r\n\r\nok", 200, "X", "1 : 2"},
+		"blanks in a value": {"HTTP/1.1 200 OK\r\nX:  1 : 2 \r\nContent-Length: 2\r\n\r\nok", 200, "X", "1 : 2"},
+	} {
+		for protocol, client := range callersOf(t) {
+			t.Run(name+"/"+protocol, func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, testRoute(), []string{newFixedUpstream(t, c.response).addr})
+				h.client = client
+				r := h.do("POST", "/", nil)
+				is.NoErr(r.err)
+				is.Equal(r.status, c.status)
+				is.Equal(r.body, "ok")
+				for field, values := range r.header {
+					if strings.EqualFold(field, c.field) {
+						is.Equal(values, []string{c.want})
+						return
+					}
+				}
+				is.Equal(c.field, "")
+			})
+		}
+	}
+}
+
 // Guards against a malformed response that leaves no trace for operators.
 func TestMalformedResponseIsLoggedAndCounted(t *testing.T) {
 	for _, c := range []struct{ response, metric, message string }{
 		{"status 000", "status", "malformed response: status 000"},
+		{"blank in a name", "field-name", "malformed response: byte 0x20 in the name of a field"},
 	} {
 		t.Run(c.response, func(t *testing.T) {
 			is := is.New(t)
@@ -173,7 +238,7 @@
 			}, funcr.Options{})
 			counter := metrics.GetOrCreateCounter(`turmericsail_malformed_responses_total{source="upstream",reason="` + c.metric + `"}`)
 			before := counter.Get()
-			h := newHarness(t, testRoute(), []string{newMalformedUpstream(t, malformedResponses[c.response]).addr},
+			h := newHarness(t, testRoute(), []string{newFixedUpstream(t, malformedResponses[c.response]).addr},
 				withSettings(func(s *settings.Settings) { s.Log.Requests = true }), withEntry(func(e *Entry) { e.log = log }))
 			is.Equal(h.do("POST", "/", nil).status, 502)
 			mu.Lock()
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is wrapped by the errors for malformed responses. The request may have run, whatever the response says.
@@ -24,7 +25,10 @@
 // reason is what is malformed. It is a label of the metric.
 type reason string
 
-const reasonStatus reason = "status"
+const (
+	reasonStatus    reason = "status"
+	reasonFieldName reason = "field-name"
+)
 
 // Other statuses are invalid (RFC 9110, section 15).
 const (
@@ -51,9 +55,25 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return s.malformed(reasonStatus, fmt.Sprintf("status %03d", resp.StatusCode))
 	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return s.malformed(reasonFieldName, fmt.Sprintf("byte %#02x in the name of a field", invalidByte(name)))
+		}
+	}
 	return nil
 }
 
+// invalidByte returns the first byte of an invalid field name that no valid one has. Errors have only this byte of it, since the rest may
+// be part of a body or a secret.
+func invalidByte(name string) byte {
+	for i := range len(name) {
+		if !httpguts.IsTokenRune(rune(name[i])) {
+			return name[i]
+		}
+	}
+	return 0
+}
+
 // malformed counts a malformed response and returns the error for it.
 func (s Source) malformed(r reason, detail string) error {
 	metrics.GetOrCreateCounter(fmt.Sprintf("turmericsail_malformed_responses_total{source=%q,reason=%q}", s, r)).Inc()
