respcheck: count responses whose header net/http refuses

Responses with a control byte in a field name or value, or with a line that has no name or no colon, did not reach callers, but operators found them in no metric, and the error of the attempt did not tell them from a lost connection ("transport connection broken").

net/textproto refuses their lines with an error of its own type, which respcheck turns into ErrMalformed and counts with the reason "header".

Evidence: the case "NUL in a name" of TestMalformedResponseIsLoggedAndCounted failed before: no count, and "net/http: HTTP/1.x transport connection broken: malformed MIME header line". Attempts ended as lost before, too.

--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -223,6 +223,7 @@
 	for _, c := range []struct{ response, metric, message string }{
 		{"status 000", "status", "malformed response: status 000"},
 		{"blank in a name", "field-name", "malformed response: byte 0x20 in the name of a field"},
+		{"NUL in a name", "header", `malformed response: malformed MIME header line: "X\x00Y: 1"`},
 	} {
 		t.Run(c.response, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/textproto"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/http/httpguts"
@@ -28,6 +29,7 @@
 const (
 	reasonStatus    reason = "status"
 	reasonFieldName reason = "field-name"
+	reasonHeader    reason = "header" // a line of the header that net/http cannot parse
 )
 
 // Other statuses are invalid (RFC 9110, section 15).
@@ -41,7 +43,7 @@
 func (s Source) RoundTrip(base http.RoundTripper, req *http.Request) (*http.Response, error) {
 	resp, err := base.RoundTrip(req)
 	if err != nil {
-		return nil, err
+		return nil, s.transportError(err)
 	}
 	if err := s.check(resp); err != nil {
 		_ = resp.Body.Close()
@@ -50,6 +52,15 @@
 	return resp, nil
 }
 
+// transportError returns the error for a failed round trip. Lines that net/textproto refuses make a response malformed.
+func (s Source) transportError(err error) error {
+	var refused textproto.ProtocolError
+	if errors.As(err, &refused) {
+		return s.malformed(reasonHeader, refused.Error())
+	}
+	return err
+}
+
 // check returns an error if the status or the header is malformed.
 func (s Source) check(resp *http.Response) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
