entry: treat a response after a malformed 1xx response as lost

A 1xx response with a blank in a field name was passed on to the caller without that line, and so was the response behind it.

Cause: net/http hands 1xx responses to a hook, and only the final response was checked.

respcheck installs the hook itself, checks the names and only then calls the reader's function, so that every reader's 1xx responses are checked. net/http bounds them only where there is no hook; the bound on their number moves from the entry to respcheck, and now also holds for callers of HTTP/1.0, to which none are passed on.

Evidence: 16 of 20 cases of TestMalformedInterimResponseIsALostOne failed before ("200 != 502", "wrong != served", "1 != 0" forwarded); the other four have a NUL, which net/http refuses. "malformed" of TestInterimResponsesToAnHTTP10Caller failed with 200.

--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -27,7 +27,7 @@
 			Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: u.Address, Path: path}, Host: u.Address,
 			Header: http.Header{"User-Agent": nil}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		}
-		resp, _, err := conn.roundTrip(req.WithContext(ctx))
+		resp, _, err := conn.roundTrip(req.WithContext(ctx), nil)
 		if err == nil && e.proto.EchoesRequestID && resp.Header.Get(e.proto.RequestID) != "" {
 			conns.discard(conn)
 			return 0, nil, errForeignResponse
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -59,8 +59,7 @@
 	// placedAt is the time at which a hedged attempt got its upstream; guarded by the exchange's mutex, also upstream then.
 	placedAt time.Time
 
-	// Of the 1xx responses; guarded by the exchange's mutex.
-	interimResponses, interimBytes int
+	interimBytes int // of the headers of 1xx responses; guarded by the exchange's mutex
 }
 
 // attemptContext reports the request's deadline to placement and dialing, but is
@@ -241,7 +240,7 @@
 		a.resp, a.sent = nil, false
 		return
 	}
-	a.resp, a.sent, a.err = a.conn.roundTrip(req)
+	a.resp, a.sent, a.err = a.conn.roundTrip(req, a.forward1xx)
 	if a.err == nil {
 		a.firstByte = time.Since(a.sentAt)
 	}
@@ -285,7 +284,7 @@
 		// connection is not reused.
 		req.Close = a.header.Get("Expect") != ""
 	}
-	return req.WithContext(a.with1xxTrace()), nil
+	return req.WithContext(a.ctx), nil
 }
 
 // authority returns the host part of the URL. The Host header is the caller's.
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/textproto"
 	"runtime"
 	"sync"
 	"sync/atomic"
@@ -69,10 +70,10 @@
 }
 
 // roundTrip sends a request and waits for the response header. sent reports whether any byte
-// of the request may have reached the upstream.
-func (c *upstreamConn) roundTrip(req *http.Request) (resp *http.Response, sent bool, err error) {
+// of the request may have reached the upstream. interim, unless nil, is called with each 1xx response.
+func (c *upstreamConn) roundTrip(req *http.Request, interim func(int, textproto.MIMEHeader) error) (resp *http.Response, sent bool, err error) {
 	before := c.counted.sent.Load()
-	resp, err = c.source.RoundTrip(c.client, req)
+	resp, err = c.source.RoundTrip(c.client, req, interim)
 	// After a malformed response, the request may still be written until the connection is closed.
 	sent = c.counted.sent.Load() != before || errors.Is(err, respcheck.ErrMalformed)
 	return resp, sent, err
--- a/internal/entry/interim_test.go
+++ b/internal/entry/interim_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -62,7 +63,7 @@
 	const deadline = 200 * time.Millisecond
 	upstream := serveUpstream(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(deadline - 10*time.Millisecond)
-		for range maxInterimResponses {
+		for range respcheck.MaxInterim {
 			w.WriteHeader(http.StatusEarlyHints)
 			time.Sleep(250 * time.Microsecond)
 		}
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -183,6 +184,75 @@
 	}
 }
 
+// Guards against a malformed 1xx response that reaches the caller, and against the response behind it.
+func TestMalformedInterimResponseIsALostOne(t *testing.T) {
+	for name, response := range map[string]string{
+		"blank in a name":            "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n",
+		"blank after Content-Length": "HTTP/1.1 103 X\r\nContent-Length : 5\r\n\r\n",
+		"of 100":                     "HTTP/1.1 100 Continue\r\nX Y: 1\r\n\r\n",
+		"NUL in a name":              "HTTP/1.1 103 X\r\nX\x00Y: 1\r\n\r\n",
+		"second one":                 "HTTP/1.1 103 X\r\nX: 1\r\n\r\nHTTP/1.1 103 X\r\nX Y: 1\r\n\r\n",
+	} {
+		for protocol, client := range callersOf(t) {
+			for _, method := range []string{http.MethodGet, http.MethodPost} {
+				t.Run(name+"/"+protocol+"/"+method, func(t *testing.T) {
+					is := is.New(t)
+					bad := newFixedUpstream(t, response+okHead+"Content-Length: 5\r\n\r\nwrong")
+					route := testRoute()
+					route.Retry.MaxAttempts, route.Retry.BudgetPercent = 2, 100
+					h := newHarness(t, route, []string{bad.addr, serveUpstream(t, served)}, withPorts(func(p *Ports) { p.Placement = &inOrder{} }))
+					var hints atomic.Int64
+					ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+						if header.Get("X") == "" {
+							hints.Add(1)
+						}
+						return nil
+					}})
+					req, err := http.NewRequestWithContext(ctx, method, h.url, nil)
+					is.NoErr(err)
+					resp, err := client.Do(req)
+					is.NoErr(err)
+					defer resp.Body.Close()
+					is.Equal(hints.Load(), int64(0))
+					if method == http.MethodGet {
+						is.Equal(resp.StatusCode, 200)
+						body, err := io.ReadAll(resp.Body)
+						is.NoErr(err)
+						is.Equal(string(body), "served")
+						return
+					}
+					is.Equal(resp.StatusCode, 502)
+					is.Equal(resp.Header.Get(HeaderOutcome), string(Unknown))
+				})
+			}
+		}
+	}
+}
+
+// Guards against 1xx responses to a caller that cannot read them: without end, or malformed.
+func TestInterimResponsesToAnHTTP10Caller(t *testing.T) {
+	for name, c := range map[string]struct{ response, status string }{
+		"some":       {strings.Repeat("HTTP/1.1 103 X\r\nX: 1\r\n\r\n", respcheck.MaxInterim), "HTTP/1.0 200"},
+		"many":       {strings.Repeat("HTTP/1.1 103 X\r\nX: 1\r\n\r\n", respcheck.MaxInterim+1), "HTTP/1.0 502"},
+		"malformed":  {"HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n", "HTTP/1.0 502"},
+		"none":       {"", "HTTP/1.0 200"},
+		"only large": {"HTTP/1.1 103 X\r\nX: " + strings.Repeat("x", maxResponseHeader/2) + "\r\n\r\n", "HTTP/1.0 200"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, testRoute(), []string{newFixedUpstream(t, c.response+okResponse).addr})
+			conn, err := net.Dial("tcp", h.addr)
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, "POST / HTTP/1.0\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			response, err := io.ReadAll(conn)
+			is.NoErr(err)
+			is.Equal(string(response[:min(len(response), len(c.status))]), c.status)
+		})
+	}
+}
+
 // Guards against refusing responses that are unusual and well-formed.
 func TestUnusualResponsesArePassedOn(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -271,7 +341,7 @@
 	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://relay/", nil)
 	is.NoErr(err)
-	_, sent, err := c.roundTrip(req)
+	_, sent, err := c.roundTrip(req, nil)
 	is.True(errors.Is(err, respcheck.ErrMalformed))
 	is.True(sent)
 }
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/textproto"
 	"sync"
 	"time"
@@ -13,40 +12,28 @@
 
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
 
-// maxInterimResponses bounds the 1xx responses to one attempt. Their headers together are bounded by maxResponseHeader.
-const maxInterimResponses = 64
-
 // interimWriteTime is the time after the deadline of a request at which the write of a 1xx response fails. After a failed write,
 // the connection or stream can carry no refusal, so one that begins before the deadline has time to end.
 const interimWriteTime = time.Second
 
-var errInterimResponses = errors.New("the upstream sent too many 1xx responses")
-
-// with1xxTrace forwards 1xx responses to the caller. They are dropped for requests that may be hedged.
-func (a *attempt) with1xxTrace() context.Context {
-	if !a.x.r.ProtoAtLeast(1, 1) {
-		return a.ctx // net/http bounds them
-	}
-	return httptrace.WithClientTrace(a.ctx, &httptrace.ClientTrace{Got1xxResponse: a.forward1xx})
-}
+var errInterimHeaders = errors.New("the headers of the 1xx responses are too large")
 
-// forward1xx sends a 1xx response to the caller. net/http sends 100 (Continue) itself. An error ends the attempt as one
-// whose upstream was lost.
+// forward1xx sends a 1xx response to the caller, unless the request may be hedged or the caller's protocol has none. net/http
+// sends 100 (Continue) itself. An error ends the attempt as one whose upstream was lost.
 func (a *attempt) forward1xx(code int, header textproto.MIMEHeader) (err error) {
 	x := a.x
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	defer a.recoverForwarding(&err)
-	a.interimResponses++
 	for name, values := range header {
 		for _, v := range values {
 			a.interimBytes += len(name) + len(v)
 		}
 	}
-	if a.interimResponses > maxInterimResponses || a.interimBytes > maxResponseHeader {
-		return errInterimResponses
+	if a.interimBytes > maxResponseHeader {
+		return errInterimHeaders
 	}
-	if x.no1xx || code == http.StatusContinue || x.pastDeadline() {
+	if x.no1xx || !x.r.ProtoAtLeast(1, 1) || code == http.StatusContinue || x.pastDeadline() {
 		return nil
 	}
 	h := x.w.Header()
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"net/textproto"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -38,10 +39,26 @@
 	maxStatus = 599
 )
 
-// RoundTrip sends a request and returns an error that wraps ErrMalformed if the response is malformed. The connection must not
-// be used again then, and the request may still be being written to it.
-func (s Source) RoundTrip(base http.RoundTripper, req *http.Request) (*http.Response, error) {
-	resp, err := base.RoundTrip(req)
+// MaxInterim bounds the 1xx responses to one request.
+const MaxInterim = 64
+
+var errTooManyInterim = errors.New("too many 1xx responses")
+
+// RoundTrip sends a request and returns an error that wraps ErrMalformed if a response to it is malformed. The connection must
+// not be used again then, and the request may still be being written to it. interim, unless nil, is called with each 1xx
+// response; its error ends the round trip.
+func (s Source) RoundTrip(base http.RoundTripper, req *http.Request, interim func(code int, header textproto.MIMEHeader) error) (*http.Response, error) {
+	received := 0
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
+		if received++; received > MaxInterim { // net/http bounds them only without this function
+			return errTooManyInterim
+		}
+		if err := s.checkHeader(http.Header(header)); err != nil || interim == nil {
+			return err
+		}
+		return interim(code, header)
+	}}
+	resp, err := base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, s.transportError(err)
 	}
@@ -66,7 +83,12 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return s.malformed(reasonStatus, fmt.Sprintf("status %03d", resp.StatusCode))
 	}
-	for name := range resp.Header {
+	return s.checkHeader(resp.Header)
+}
+
+// checkHeader returns an error if the name of a field is malformed.
+func (s Source) checkHeader(h http.Header) error {
+	for name := range h {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return s.malformed(reasonFieldName, fmt.Sprintf("byte %#02x in the name of a field", invalidByte(name)))
 		}
