entry: treat a response with a malformed trailer as lost

A trailer with a blank in a field name was dropped and the body passed for the whole response: it was sent, recorded, and its connection used again. Callers of HTTP/2 got the body and no end of the stream, since the server of net/http waited for a trailer that it never sent; a trailer announced with a blank in its name had the same effect.

Cause: the trailer is read after the header was checked, and net/http hands out names with blanks as it does in headers.

respcheck checks the announced names with the header, and the trailer when the body ends: the end is then an error, as it is for a trailer that net/http refuses. A kept response is replaced or refused with "unknown", one that is being sent is aborted, and the connection is closed. A second log line of the attempt names the reason.

--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // stop ends an attempt that has no response.
@@ -114,6 +116,9 @@
 	if a.resp != nil {
 		r.Status = a.resp.StatusCode
 	}
+	if a.resp != nil && errors.Is(a.err, respcheck.ErrMalformed) { // the log line of the response's header has no error
+		a.x.logAttempt(a)
+	}
 	a.permit.Done(r)
 	a.observe(r)
 	served := e == EndAnswered && r.Status < http.StatusInternalServerError
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -107,6 +107,7 @@
 		err = errLeaving
 	}
 	if err != nil {
+		c.a.err = err
 		c.a.end(c.collectEnding(), false)
 		c.x.maybeRan.Store(true)
 		c.x.settleClaim(t)
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -12,8 +12,10 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
@@ -54,6 +56,7 @@
 	"blank after Transfer-Encoding":  okHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
 	"blank after the second length":  okHead + "Content-Length: 5\r\nContent-Length : 9\r\n\r\nwrong",
 	"blank after the load":           "HTTP/1.1 200 OK\r\nTurmericsail-Load : slots=9\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in an announced trailer":  okHead + "Trailer: X Y\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
 	"no content":                     "HTTP/1.1 204 X\r\n" + claims + "X Y: 1\r\n\r\n",
 
 	"NUL in a name":           okHead + "X\x00Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
@@ -112,6 +115,7 @@
 	h2c.SetUnencryptedHTTP2(true)
 	clients := map[string]*http.Client{"HTTP/1.1": {Transport: &http.Transport{}}, "HTTP/2": {Transport: &http.Transport{Protocols: h2c}}}
 	for _, client := range clients {
+		client.Timeout = 5 * time.Second
 		t.Cleanup(client.CloseIdleConnections)
 	}
 	return clients
@@ -229,6 +233,114 @@
 	}
 }
 
+// malformedTrailers follow the body of a response in chunks, by what is malformed.
+var malformedTrailers = map[string]string{
+	"blank in a name":          "X Y: 1\r\n",
+	"blank before a colon":     "X : 1\r\n",
+	"blank after a valid one":  "Etag: 1\r\nX Y: 1\r\n",
+	"NUL in a name":            "X\x00Y: 1\r\n",
+	"line without a colon":     "X\r\n",
+	"blank in a forbidden one": "Content-Length : 1\r\n",
+}
+
+const trailedHead = "HTTP/1.1 200 OK\r\nTrailer: Etag\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// Guards against a response whose malformed trailer is dropped, so that its body passes for the whole response.
+func TestMalformedTrailerIsALostResponse(t *testing.T) {
+	for name, trailer := range malformedTrailers {
+		for protocol, client := range callersOf(t) {
+			t.Run(name+"/"+protocol, func(t *testing.T) {
+				is := is.New(t)
+				bad, seen := newFixedUpstream(t, trailedHead+"5\r\nwrong\r\n0\r\n"+trailer+"\r\n"), &observations{upstream: "u1"}
+				h := newHarness(t, testRoute(), []string{bad.addr}, withPorts(func(p *Ports) { p.Observers = []Observer{seen} }))
+				h.client = client
+				const requests = 3
+				for range requests {
+					is.True(h.do("POST", "/", nil).err != nil) // the header was sent
+				}
+				is.Equal(bad.conns.Load(), int64(requests)) // none is used again
+				_ = h.entry.Shutdown(t.Context())           // the ends are observed after the responses
+				lost := 0
+				for _, o := range seen.all() {
+					is.True(o.Result.Ending != EndAnswered)
+					if o.Result.Ending == EndLost {
+						lost++
+					}
+				}
+				is.Equal(lost, requests)
+			})
+		}
+	}
+}
+
+// Guards against a response whose trailer is malformed and that is not replaced although nothing of it was sent, or is recorded.
+func TestMalformedTrailerOfAKeptResponse(t *testing.T) {
+	for name, trailer := range malformedTrailers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			bad := newFixedUpstream(t, trailedHead+"5\r\nwrong\r\n0\r\n"+trailer+"\r\n")
+			claims, lines := &memoryClaims{}, &attemptErrors{}
+			route := testRoute()
+			route.Retry.MaxAttempts, route.Retry.BudgetPercent = 2, 100
+			h := newHarness(t, route, []string{bad.addr, serveUpstream(t, served)}, withPorts(func(p *Ports) { p.Placement, p.Claims = &inOrder{}, claims }),
+				withSettings(func(s *settings.Settings) { s.Log.Requests = true }),
+				withEntry(func(e *Entry) { e.proto.BufferResponse, e.log = 1<<10, lines.logger() }))
+			r := h.do("GET", "/", nil)
+			is.NoErr(r.err)
+			is.Equal(r.body, "served")
+			for range 2 {
+				r = h.do("POST", "/", nil, identity...)
+				is.NoErr(r.err)
+				is.True(r.status == 502 || r.status == 409) // 409 for the second one: it may have run
+				is.Equal(r.outcome(), string(Unknown))
+			}
+			is.Equal(bad.requests.Load(), int64(2))
+			errors := lines.all()
+			is.Equal(len(errors), 2)
+			for _, message := range errors {
+				is.True(strings.HasPrefix(message, "malformed response: "))
+			}
+		})
+	}
+}
+
+// Guards against refusing trailers that are well-formed.
+func TestTrailerIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, testRoute(), []string{newFixedUpstream(t, trailedHead+"2\r\nok\r\n0\r\nEtag: 1\r\nX-Y: 2\r\n\r\n").addr})
+	for range 2 {
+		resp, err := h.client.Post(h.url, "", nil)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+		is.Equal(resp.Trailer, http.Header{"Etag": {"1"}, "X-Y": {"2"}})
+	}
+}
+
+// attemptErrors keeps the errors of logged attempts.
+type attemptErrors struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (a *attemptErrors) logger() logr.Logger {
+	return funcr.NewJSON(func(line string) {
+		var fields struct{ Msg, Error string }
+		if err := json.Unmarshal([]byte(line), &fields); err == nil && fields.Msg == "attempt" && fields.Error != "" {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.list = append(a.list, fields.Error)
+		}
+	}, funcr.Options{})
+}
+
+func (a *attemptErrors) all() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]string(nil), a.list...)
+}
+
 // Guards against 1xx responses to a caller that cannot read them: without end, or malformed.
 func TestInterimResponsesToAnHTTP10Caller(t *testing.T) {
 	for name, c := range map[string]struct{ response, status string }{
@@ -296,25 +408,13 @@
 		{"NUL in a name", "header", `malformed response: malformed MIME header line: "X\x00Y: 1"`},
 	} {
 		t.Run(c.response, func(t *testing.T) {
-			is := is.New(t)
-			var mu sync.Mutex
-			var messages []string
-			log := funcr.NewJSON(func(line string) {
-				var fields struct{ Msg, Error string }
-				if err := json.Unmarshal([]byte(line), &fields); err == nil && fields.Msg == "attempt" {
-					mu.Lock()
-					defer mu.Unlock()
-					messages = append(messages, fields.Error)
-				}
-			}, funcr.Options{})
+			is, lines := is.New(t), &attemptErrors{}
 			counter := metrics.GetOrCreateCounter(`turmericsail_malformed_responses_total{source="upstream",reason="` + c.metric + `"}`)
 			before := counter.Get()
 			h := newHarness(t, testRoute(), []string{newFixedUpstream(t, malformedResponses[c.response]).addr},
-				withSettings(func(s *settings.Settings) { s.Log.Requests = true }), withEntry(func(e *Entry) { e.log = log }))
+				withSettings(func(s *settings.Settings) { s.Log.Requests = true }), withEntry(func(e *Entry) { e.log = lines.logger() }))
 			is.Equal(h.do("POST", "/", nil).status, 502)
-			mu.Lock()
-			defer mu.Unlock()
-			is.Equal(messages, []string{c.message})
+			is.Equal(lines.all(), []string{c.message})
 			is.Equal(counter.Get(), before+1)
 		})
 	}
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -4,9 +4,11 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/http/httpguts"
@@ -66,9 +68,34 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	if slices.Contains(resp.TransferEncoding, "chunked") { // other bodies of HTTP/1 have no trailer
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, source: s}
+	}
 	return resp, nil
 }
 
+// trailedBody is a body whose end is an error if the trailer that follows it is malformed.
+type trailedBody struct {
+	io.ReadCloser
+	resp   *http.Response
+	source Source
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == nil:
+	case err != io.EOF:
+		err = b.source.transportError(err)
+	default:
+		if malformed := b.source.checkHeader(b.resp.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
+
 // transportError returns the error for a failed round trip. Lines that net/textproto refuses make a response malformed.
 func (s Source) transportError(err error) error {
 	var refused textproto.ProtocolError
@@ -83,7 +110,10 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return s.malformed(reasonStatus, fmt.Sprintf("status %03d", resp.StatusCode))
 	}
-	return s.checkHeader(resp.Header)
+	if err := s.checkHeader(resp.Header); err != nil {
+		return err
+	}
+	return s.checkHeader(resp.Trailer) // has the announced names
 }
 
 // checkHeader returns an error if the name of a field is malformed.
