entry: do not ask again after a malformed response to a probe

Ask took a malformed response for the state of the upstream and put its connection back into the pool (status 000 was given up by net/http after one response): readings with status 0, and load from responses with a blank in a field name. A malformed trailer was ignored.

Ask returns the error at once, also if reading the body to its end fails for a malformed trailer.

--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -62,7 +62,10 @@
 // discardResponse ends an attempt whose response is not sent to the caller.
 func (a *attempt) discardResponse(e Ending) {
 	if !a.ended {
-		complete := e != EndCancelled && drain(a.resp.Body)
+		complete := false
+		if e != EndCancelled {
+			complete, _ = drain(a.resp.Body) // the response is not needed
+		}
 		a.end(e, complete)
 	}
 }
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -30,19 +31,17 @@
 
 // malformedResponses are responses that must not reach callers, by what is malformed. Their body is "wrong".
 var malformedResponses = map[string]string{
-	"status 000":                 "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status 000 and no body":     "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
-	"status 000 and no length":   "HTTP/1.1 000 X\r\n" + claims + "\r\nwrong",
-	"status 000 in chunks":       "HTTP/1.1 000 X\r\n" + claims + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-	"status 000 and a close":     "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\nConnection: close\r\n\r\nwrong",
-	"status without a reason":    "HTTP/1.1 000\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status below 100":           "HTTP/1.1 099 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status with a plus sign":    "HTTP/1.1 +20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status with a minus sign":   "HTTP/1.1 -00 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status above 599":           "HTTP/1.1 600 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status above 599, no body":  "HTTP/1.1 999 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
-	"status that is hexadecimal": "HTTP/1.1 0x0 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status of two digits":       "HTTP/1.1 20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status 000":                "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status 000 and no body":    "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
+	"status 000 and no length":  "HTTP/1.1 000 X\r\n" + claims + "\r\nwrong",
+	"status 000 in chunks":      "HTTP/1.1 000 X\r\n" + claims + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+	"status 000 and a close":    "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\nConnection: close\r\n\r\nwrong",
+	"status without a reason":   "HTTP/1.1 000\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status below 100":          "HTTP/1.1 099 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status with a plus sign":   "HTTP/1.1 +20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status with a minus sign":  "HTTP/1.1 -00 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status above 599":          "HTTP/1.1 600 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status above 599, no body": "HTTP/1.1 999 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
 
 	"blank in a name":                okHead + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
 	"blank in a name and no body":    okHead + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
@@ -73,6 +72,12 @@
 	"blank in the first line": "HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 5\r\n\r\nwrong",
 }
 
+// unreadableResponses are responses that net/http cannot read, so that nothing is known of them.
+var unreadableResponses = map[string]string{
+	"status that is hexadecimal": "HTTP/1.1 0x0 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status of two digits":       "HTTP/1.1 20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+}
+
 // fixedUpstream sends the same response to each request and keeps its connections open.
 type fixedUpstream struct {
 	*rawUpstream
@@ -124,7 +129,9 @@
 // Guards against a malformed response that reaches a caller, that ends the caller's connection without an answer, whose claims
 // are believed, which counts in favour of its upstream, or whose connection is used again.
 func TestMalformedResponseIsALostOne(t *testing.T) {
-	for name, response := range malformedResponses {
+	responses := maps.Clone(malformedResponses)
+	maps.Copy(responses, unreadableResponses)
+	for name, response := range responses {
 		for protocol, client := range callersOf(t) {
 			for _, method := range []string{http.MethodGet, http.MethodPost} {
 				t.Run(name+"/"+protocol+"/"+method, func(t *testing.T) {
@@ -341,6 +348,52 @@
 	return append([]string(nil), a.list...)
 }
 
+// Guards against a probe that takes a malformed response for the state of its upstream, uses the connection again, or asks
+// once more because the connection had been used before.
+func TestMalformedResponseToAProbe(t *testing.T) {
+	responses := maps.Clone(malformedResponses)
+	for name, trailer := range malformedTrailers {
+		responses["trailer, "+name] = trailedHead + "5\r\nwrong\r\n0\r\n" + trailer + "\r\n"
+	}
+	responses["interim"] = "HTTP/1.1 103 X\r\nX Y: 1\r\n\r\n" + responseText(200, "wrong")
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var malformed atomic.Bool
+			var asked atomic.Int64
+			u := newRawUpstream(t, func(_ int64, c net.Conn) {
+				serveRequests(c, func(int, *http.Request) string {
+					asked.Add(1)
+					if malformed.Load() {
+						return response
+					}
+					return responseText(200, "ok")
+				})
+			})
+			h := newHarness(t, testRoute(), []string{u.addr})
+			ask := func() (int, http.Header, error) {
+				return h.entry.Ask(t.Context(), &h.pool, h.pool.Upstreams[0], "/health")
+			}
+			status, _, err := ask()
+			is.NoErr(err)
+			is.Equal(status, 200)
+			malformed.Store(true)
+			for range 2 {
+				status, header, err := ask()
+				is.True(err != nil)
+				is.Equal(status, 0)
+				is.Equal(len(header), 0)
+			}
+			is.Equal(asked.Load(), int64(3))
+			malformed.Store(false)
+			status, _, err = ask()
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.Equal(u.conns.Load(), int64(3)) // one for the first two, and one for each of the others
+		})
+	}
+}
+
 // Guards against 1xx responses to a caller that cannot read them: without end, or malformed.
 func TestInterimResponsesToAnHTTP10Caller(t *testing.T) {
 	for name, c := range map[string]struct{ response, status string }{
--- a/internal/entry/prepare.go
+++ b/internal/entry/prepare.go
@@ -114,10 +114,13 @@
 }
 
 // drain reads a body up to its end, if less than drainLimit bytes are left, and reports whether the
-// connection can be reused.
-func drain(r io.Reader) bool {
+// connection can be reused. The error is that of the body.
+func drain(r io.Reader) (whole bool, err error) {
 	n, err := io.CopyN(io.Discard, r, drainLimit)
-	return err == io.EOF && n < drainLimit
+	if err == io.EOF {
+		return n < drainLimit, nil
+	}
+	return false, err
 }
 
 // drainLimit bounds the bytes read from a discarded body.
