entry: read a refusal to its end before its promise is believed

A POST ran a second time after a 503 that said "not-run" and ended with a malformed trailer: the promise was believed when the header arrived, and the request went to another upstream.

A response that states "not-run" is now read to its end, as it was before a retry already, before the attempt is classified and observed. If its trailer is malformed, the attempt is lost. Of an attempt whose response turned out to be malformed, neither the status nor the load is observed at its end.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 	"github.com/turmericsail/turmericsail/pkg/table"
 )
 
@@ -311,12 +312,28 @@
 			a.stop(failLost, errors.New(why))
 			return
 		}
+		if err := a.checkRefusal(); err != nil {
+			a.stop(failLost, err)
+			return
+		}
 		a.observe(Result{Status: a.resp.StatusCode, FirstByte: a.firstByte})
 		a.observeIntake()
 		a.classifyStatus()
 	}
 }
 
+// checkRefusal returns an error if the response states that the request did not run and has a malformed trailer, which
+// follows the body. Callers never get the body of such a response.
+func (a *attempt) checkRefusal() error {
+	if a.permit == nil || !a.x.e.proto.NotRun(a.resp) {
+		return nil
+	}
+	if _, err := drain(a.resp.Body); errors.Is(err, respcheck.ErrMalformed) {
+		return err
+	}
+	return nil
+}
+
 // observeIntake reports what the response states about the requests that the upstream takes. A response of status
 // 421 may come from another upstream.
 func (a *attempt) observeIntake() {
--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -116,12 +116,13 @@
 	if !a.sentAt.IsZero() {
 		r.Total = time.Since(a.sentAt)
 	}
-	if a.resp != nil {
+	switch {
+	case a.resp == nil:
+	case a.malformed():
+		a.x.logAttempt(a) // once more, since the line of the response's header has no error
+	default:
 		r.Status = a.resp.StatusCode
 	}
-	if a.resp != nil && errors.Is(a.err, respcheck.ErrMalformed) { // the log line of the response's header has no error
-		a.x.logAttempt(a)
-	}
 	a.permit.Done(r)
 	a.observe(r)
 	served := e == EndAnswered && r.Status < http.StatusInternalServerError
@@ -131,6 +132,9 @@
 	a.x.e.countCrossRegion(a.upstream.Region, a.bytesUp(), a.bytesDown)
 }
 
+// malformed reports whether the response turned out to be malformed, so that nothing in it counts.
+func (a *attempt) malformed() bool { return errors.Is(a.err, respcheck.ErrMalformed) }
+
 // reportRun reports the end of a run to quarantine. The fingerprint of a body that was not read before sending is known
 // only now.
 func (a *attempt) reportRun(end RunEnd) {
@@ -159,7 +163,7 @@
 	}
 	o := &Observation{Pool: &a.x.pool, Route: &a.x.route, Upstream: a.upstream, Result: r, BytesUp: a.bytesUp(), BytesDown: a.bytesDown, Hedge: a.second}
 	o.Superseded = r.Ending == EndCancelled && errors.Is(context.Cause(a.ctx), errSuperseded)
-	if a.resp != nil {
+	if a.resp != nil && !a.malformed() {
 		o.Load = a.resp.Header.Get(a.x.e.proto.Load)
 	}
 	o.Refused = r.Ending == EndNotRun && a.conn == nil && a.err != nil && !errors.Is(a.err, errNoConnection)
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -311,6 +311,28 @@
 	}
 }
 
+// Guards against a refusal whose promise that the request did not run is believed although its trailer is malformed.
+func TestMalformedTrailerOfARefusal(t *testing.T) {
+	for name, trailer := range malformedTrailers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			bad, seen := newFixedUpstream(t, "HTTP/1.1 503 X\r\n"+claims+"Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n"+trailer+"\r\n"), &observations{upstream: "u1"}
+			h := newHarness(t, testRoute(), []string{bad.addr, serveUpstream(t, served)},
+				withPorts(func(p *Ports) { p.Placement, p.Observers = &inOrder{}, []Observer{seen} }))
+			r := h.do("POST", "/", nil)
+			is.NoErr(r.err)
+			is.Equal(r.status, 502)
+			is.Equal(r.outcome(), string(Unknown))
+			is.Equal(bad.requests.Load(), int64(1))
+			list := seen.all()
+			is.Equal(len(list), 1)
+			is.Equal(list[0].Result.Ending, EndLost)
+			is.Equal(list[0].Result.Status, 0)
+			is.Equal(list[0].Load, "")
+		})
+	}
+}
+
 // Guards against refusing trailers that are well-formed.
 func TestTrailerIsPassedOn(t *testing.T) {
 	is := is.New(t)
