probe: give checkers without a client a shared one

An instance of the daemon ended with its first probe of a pool with measuring.probe_path. The daemon creates its checker without a client, and http.Client panics if it is nil. No test used one.

Found while testing what the checker makes of malformed responses.

Evidence: TestCheckerWithoutAClient ended with "nil pointer dereference" in http.(*Client).do before.

--- a/pkg/probe/budget_test.go
+++ b/pkg/probe/budget_test.go
@@ -170,6 +170,14 @@
 	is.True(!c.Check(t.Context(), endpoint).OK)
 }
 
+// Guards against a checker without a client, as that of the daemon, that ends the process.
+func TestCheckerWithoutAClient(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	is.True(HTTPChecker{}.Check(t.Context(), Target{Address: strings.TrimPrefix(server.URL, "http://"), Path: "/health"}).OK)
+}
+
 // Guards against panics and values out of bounds after any report of a peer.
 func FuzzLoadReport(f *testing.F) {
 	good, _ := proto.Marshal(&peerpb.LoadReport{Loads: []*peerpb.UpstreamLoad{loadToMessage(target.Key, Load{Slots: 4, State: StateOK, At: start}, start)}})
--- a/pkg/probe/check.go
+++ b/pkg/probe/check.go
@@ -1,6 +1,7 @@
 package probe
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -26,10 +27,15 @@
 
 // HTTPChecker probes with GET requests.
 type HTTPChecker struct {
-	// Client sends the requests; its transport keeps connections open between probes.
+	// Client sends the requests; its transport keeps connections open between probes. All checkers without one share a client.
 	Client *http.Client
 }
 
+// idleConnTimeout is the time without probes after which the shared client closes a connection.
+const idleConnTimeout = time.Minute
+
+var sharedClient = &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout}}
+
 var _ Checker = HTTPChecker{}
 
 // maxBodyBytes is how much of the response body is read, so that the connection can be reused.
@@ -45,7 +51,7 @@
 	if err != nil {
 		return r
 	}
-	response, err := c.Client.Do(request)
+	response, err := cmp.Or(c.Client, sharedClient).Do(request)
 	if err != nil {
 		return r
 	}
