probe: take a malformed response for a failed health check

An upstream whose health path answered with a blank in a field name, behind a malformed 1xx response or with a malformed trailer counted as healthy, and load was believed from every malformed response, status 000 included. The check of a response with "Content-Length : 2" took until its time-out.

The checker now reads through respcheck. It leaves its connections to http.Transport, which has put the connection of a response without a body back into its pool when it returns the response, so respcheck closes that connection. An error while the body is read counts if it is a malformed trailer.

--- a/pkg/probe/check.go
+++ b/pkg/probe/check.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"time"
+
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // Result is the outcome of one active probe.
@@ -51,12 +54,14 @@
 	if err != nil {
 		return r
 	}
-	response, err := cmp.Or(c.Client, sharedClient).Do(request)
+	response, err := respcheck.Health.Client(cmp.Or(c.Client, sharedClient)).Do(request)
 	if err != nil {
 		return r
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes))
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes)); errors.Is(err, respcheck.ErrMalformed) {
+		return r
+	}
 	r.OK = response.StatusCode/100 == 2
 	r.Load, r.HasLoad = ParseLoad(response.Header.Get(Header), time.Now())
 	return r
--- /dev/null
+++ b/pkg/respcheck/client.go
@@ -0,0 +1,60 @@
+package respcheck
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Client returns a client like c that gets an error in place of a malformed response.
+func (s Source) Client(c *http.Client) *http.Client {
+	checked := *c
+	if checked.Transport == nil {
+		checked.Transport = http.DefaultTransport
+	}
+	checked.Transport = s.Transport(checked.Transport)
+	return &checked
+}
+
+// Transport returns a round tripper that returns an error in place of a malformed response and closes the connection of one.
+func (s Source) Transport(base http.RoundTripper) http.RoundTripper { return transport{s, base} }
+
+// transport is the round tripper of a reader that leaves its connections to net/http.
+type transport struct {
+	source Source
+	base   http.RoundTripper
+}
+
+var _ http.RoundTripper = transport{}
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	// net/http puts the connection of a response without a body back into its pool before it returns the response, and takes
+	// no closed connection from there.
+	closeConn := func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	resp, err := t.source.RoundTrip(t.base, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), nil)
+	if errors.Is(err, ErrMalformed) {
+		closeConn()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if body, ok := resp.Body.(*trailedBody); ok {
+		body.onMalformed = closeConn
+	}
+	return resp, nil
+}
+
+// CloseIdleConnections is called by http.Client.CloseIdleConnections.
+func (t transport) CloseIdleConnections() {
+	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -24,6 +24,7 @@
 const (
 	Upstream Source = "upstream"
 	Relay    Source = "relay" // another instance that serves a relayed request
+	Health   Source = "health"
 )
 
 // reason is what is malformed. It is a label of the metric.
@@ -77,8 +78,9 @@
 // trailedBody is a body whose end is an error if the trailer that follows it is malformed.
 type trailedBody struct {
 	io.ReadCloser
-	resp   *http.Response
-	source Source
+	resp        *http.Response
+	source      Source
+	onMalformed func() // may be nil
 }
 
 // Read implements io.Reader.
@@ -90,7 +92,9 @@
 		err = b.source.transportError(err)
 	default:
 		if malformed := b.source.checkHeader(b.resp.Trailer); malformed != nil {
-			err = malformed
+			if err = malformed; b.onMalformed != nil {
+				b.onMalformed()
+			}
 		}
 	}
 	return n, err
