consulkv: take no answer from a malformed response

Reads of the store took entries and positions from responses with a blank in a field name, with the wrong length where that was "Content-Length :", and a list of leases from status 000. A write counted as done, as lost to another writer ("false"), or as refused with status 0, whatever such a response said; only read-back after OutcomeUnknown tells.

The client reads through respcheck: a read fails with Unavailable, and a write with OutcomeUnknown, as after a lost response.

--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -25,6 +25,7 @@
 	Upstream Source = "upstream"
 	Relay    Source = "relay" // another instance that serves a relayed request
 	Health   Source = "health"
+	Store    Source = "store"
 )
 
 // reason is what is malformed. It is a label of the metric.
--- a/pkg/respcheck/respchecktest/server.go
+++ b/pkg/respcheck/respchecktest/server.go
@@ -15,7 +15,10 @@
 // line ends with CR and LF.
 func Responses(lines, body string) map[string]string {
 	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
+	chunks := "0\r\n"
+	if body != "" {
+		chunks = fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(body), body)
+	}
 	return map[string]string{
 		"status 000":                    "HTTP/1.1 000 X\r\n" + lines + length + "\r\n" + body,
 		"status 000 without a body":     "HTTP/1.1 000 X\r\n" + lines + "Content-Length: 0\r\n\r\n",
--- a/pkg/store/consulkv/consulkv.go
+++ b/pkg/store/consulkv/consulkv.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 	"github.com/turmericsail/turmericsail/pkg/store"
 )
 
@@ -69,6 +70,7 @@
 	if c.http == nil {
 		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 2 * time.Minute}}
 	}
+	c.http = respcheck.Store.Client(c.http)
 	return c, nil
 }
 
