admin: take no status and no placement from a malformed response

Both read through respcheck and read the body to its end, where a malformed trailer shows. respcheck closes the connection of a malformed response itself, so that it can spare one of HTTP/2, which carries other requests.

--- a/internal/admin/fetch.go
+++ b/internal/admin/fetch.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // statusTimeout bounds one status request to an instance's admin listener.
@@ -15,6 +17,17 @@
 // maxStatusBody is the size limit of a status in bytes; 7,600 upstreams take about 2 MB.
 const maxStatusBody = 64 << 20
 
+var client = respcheck.Admin.Client(http.DefaultClient)
+
+// decode decodes a body. It reads all of it, since a malformed trailer shows only at its end.
+func decode(body io.ReadCloser, out any) error {
+	data, err := io.ReadAll(http.MaxBytesReader(nil, body, maxStatusBody))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(data, out)
+}
+
 // FetchStatus requests the status of the instance whose admin listener has the given host:port.
 func FetchStatus(ctx context.Context, address string) (Status, error) {
 	var s Status
@@ -27,7 +40,7 @@
 	if err != nil {
 		return s, fault.Wrap(fault.Invalid, err, "the admin address cannot be used", "set admin.advertise to host:port")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return s, fault.Wrap(fault.Unavailable, err, "the admin listener cannot be reached", "check that the instance runs")
 	}
@@ -35,7 +48,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s, fault.Newf(fault.Unavailable, "check that the address is that of an admin listener", "the admin listener answered %s", resp.Status)
 	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxStatusBody)).Decode(&s); err != nil {
+	if err := decode(resp.Body, &s); err != nil {
 		return s, fault.Wrap(fault.Unavailable, err, "the status cannot be decoded", "check that both run the same release")
 	}
 	return s, nil
--- a/internal/admin/where.go
+++ b/internal/admin/where.go
@@ -125,7 +125,7 @@
 		return a, fault.Wrap(fault.Invalid, err, "the admin address cannot be used", "give --admin as host:port")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return a, fault.Wrap(fault.Unavailable, err, "the admin listener cannot be reached", "check that the instance runs")
 	}
@@ -139,7 +139,7 @@
 	default:
 		return a, fault.Newf(fault.Unavailable, "check that the address is that of an admin listener", "the admin listener answered %s", resp.Status)
 	}
-	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxStatusBody)).Decode(&a); err != nil {
+	if err := decode(resp.Body, &a); err != nil {
 		return a, fault.Wrap(fault.Unavailable, err, "the answer cannot be decoded", "check that both run the same release")
 	}
 	return a, nil
--- a/pkg/respcheck/client.go
+++ b/pkg/respcheck/client.go
@@ -1,7 +1,6 @@
 package respcheck
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -31,25 +30,15 @@
 // RoundTrip implements http.RoundTripper.
 func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn net.Conn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
 	// net/http puts the connection of a response without a body back into its pool before it returns the response, and takes
 	// no closed connection from there.
-	closeConn := func() {
+	discard := func() {
 		if conn != nil {
 			_ = conn.Close()
 		}
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
-	resp, err := t.source.RoundTrip(t.base, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), nil)
-	if errors.Is(err, ErrMalformed) {
-		closeConn()
-	}
-	if err != nil {
-		return nil, err
-	}
-	if body, ok := resp.Body.(*trailedBody); ok {
-		body.onMalformed = closeConn
-	}
-	return resp, nil
+	return t.source.roundTrip(t.base, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), nil, discard)
 }
 
 // CloseIdleConnections is called by http.Client.CloseIdleConnections.
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -26,6 +26,8 @@
 	Relay    Source = "relay" // another instance that serves a relayed request
 	Health   Source = "health"
 	Store    Source = "store"
+	Admin    Source = "admin"  // the admin listener of an instance
+	Target   Source = "target" // of generated load
 )
 
 // reason is what is malformed. It is a label of the metric.
@@ -52,6 +54,11 @@
 // not be used again then, and the request may still be being written to it. interim, unless nil, is called with each 1xx
 // response; its error ends the round trip.
 func (s Source) RoundTrip(base http.RoundTripper, req *http.Request, interim func(code int, header textproto.MIMEHeader) error) (*http.Response, error) {
+	return s.roundTrip(base, req, interim, func() {})
+}
+
+// roundTrip implements RoundTrip. discard is called if net/http keeps the connection of a malformed response.
+func (s Source) roundTrip(base http.RoundTripper, req *http.Request, interim func(int, textproto.MIMEHeader) error, discard func()) (*http.Response, error) {
 	received := 0
 	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, header textproto.MIMEHeader) error {
 		if received++; received > MaxInterim { // net/http bounds them only without this function
@@ -67,11 +74,14 @@
 		return nil, s.transportError(err)
 	}
 	if err := s.check(resp); err != nil {
+		if resp.ProtoMajor == 1 { // a connection of HTTP/2 carries other requests
+			discard()
+		}
 		_ = resp.Body.Close()
 		return nil, err
 	}
 	if slices.Contains(resp.TransferEncoding, "chunked") { // other bodies of HTTP/1 have no trailer
-		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, source: s}
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, source: s, discard: discard}
 	}
 	return resp, nil
 }
@@ -79,9 +89,9 @@
 // trailedBody is a body whose end is an error if the trailer that follows it is malformed.
 type trailedBody struct {
 	io.ReadCloser
-	resp        *http.Response
-	source      Source
-	onMalformed func() // may be nil
+	resp    *http.Response
+	source  Source
+	discard func() // closes the connection
 }
 
 // Read implements io.Reader.
@@ -93,9 +103,8 @@
 		err = b.source.transportError(err)
 	default:
 		if malformed := b.source.checkHeader(b.resp.Trailer); malformed != nil {
-			if err = malformed; b.onMalformed != nil {
-				b.onMalformed()
-			}
+			b.discard()
+			err = malformed
 		}
 	}
 	return n, err
