load: count malformed responses as failures

The load generator counted responses with status 000, a blank in a field name or a malformed trailer as successes.

It reads through respcheck and counts them as "malformed answer".

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/turmericsail/turmericsail/pkg/fault"
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // Config describes a load.
@@ -87,6 +88,7 @@
 	if c.Transport == nil {
 		c.Transport = newTransport(c.HTTP2)
 	}
+	c.Transport = respcheck.Target.Transport(c.Transport)
 	return nil
 }
 
@@ -182,7 +184,7 @@
 	defer resp.Body.Close()
 	head, err := readHead(resp.Body)
 	if err != nil {
-		g.result.recordFailure(fmt.Errorf("answer body truncated: %w", err))
+		g.result.recordFailure(fmt.Errorf("answer body: %w", err))
 		return
 	}
 	g.result.recordResponse(req, resp, head, time.Since(due))
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -11,6 +11,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // EchoHeader carries the request ID. If the upstream echoes it, as a header or as
@@ -130,6 +132,8 @@
 		reason = "time-out"
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		reason = "answer cut off"
+	case errors.Is(err, respcheck.ErrMalformed):
+		reason = "malformed answer"
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
