daemon: send no malformed record to a repeated request

The caller of a repeated request got no answer if the recorded one had status 000, and got statuses above 599. Earlier releases recorded status 000 before they failed to send it; encodeAnswer drops field names with blanks.

Records are read through respcheck. A malformed one does not show that the request ran, so the claim is unknown and the caller gets 409 with the outcome "unknown", as for a request whose end is not known.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 
 	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/pkg/fault"
 	"github.com/turmericsail/turmericsail/pkg/idempotency"
+	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
 // claims adapts the claims at the replicas of a request's record region to the entry.
@@ -30,11 +32,8 @@
 	case result.Ticket != nil:
 		return entry.ClaimGranted, ticket{result.Ticket}, nil, nil
 	case result.Answer != nil:
-		answer, err := decodeAnswer(result.Answer.Body)
-		if err != nil {
-			return entry.ClaimRan, nil, nil, nil
-		}
-		return entry.ClaimAnswered, nil, answer, nil
+		state, answer := stateOf(result.Answer.Body)
+		return state, nil, answer, nil
 	}
 	switch fault.KindOf(result.Refusal) {
 	case fault.Conflict:
@@ -45,6 +44,19 @@
 	return "", nil, nil, result.Refusal
 }
 
+// stateOf returns the state of a request with a recorded answer, and the answer if it can be sent. Earlier releases recorded
+// malformed answers, which do not show that the request ran.
+func stateOf(record []byte) (entry.ClaimState, *entry.StoredResponse) {
+	answer, err := decodeAnswer(record)
+	switch {
+	case errors.Is(err, respcheck.ErrMalformed):
+		return entry.ClaimUnknown, nil
+	case err != nil:
+		return entry.ClaimRan, nil
+	}
+	return entry.ClaimAnswered, answer
+}
+
 // ticket adapts a granted claim. Its result is stored in the background, because whether
 // the request ran does not depend on whether the replicas have recorded it yet.
 type ticket struct{ *idempotency.Ticket }
@@ -87,7 +99,7 @@
 }
 
 func decodeAnswer(data []byte) (*entry.StoredResponse, error) {
-	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(data)), nil)
+	resp, err := respcheck.Record.ReadResponse(bufio.NewReader(bytes.NewReader(data)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/turmericsail/turmericsail/internal/entry"
 	"github.com/turmericsail/turmericsail/internal/settings"
+	"github.com/turmericsail/turmericsail/pkg/respcheck/respchecktest"
 )
 
 // Guards against a stored answer that changes before it is sent to a repeated request, and
@@ -25,6 +26,22 @@
 	is.True(len(encodeAnswer(&entry.StoredResponse{Dropped: true})) > entry.MaxStoredResponse)
 }
 
+// Guards against a malformed answer that an instance of an earlier release recorded and this one sends to the caller of a
+// repeated request.
+func TestMalformedRecordIsNoAnswer(t *testing.T) {
+	for name, record := range respchecktest.Responses("", "wrong") {
+		if name == "blank in a 1xx response" {
+			continue // records have no 1xx responses
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			state, answer := stateOf([]byte(record))
+			is.Equal(state, entry.ClaimUnknown)
+			is.Equal(answer, nil)
+		})
+	}
+}
+
 // Guards against treating a pause of the process as a suspension of the machine.
 func TestAPauseIsNoSuspension(t *testing.T) {
 	is := is.New(t)
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -2,6 +2,7 @@
 package respcheck
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -28,6 +29,7 @@
 	Store    Source = "store"
 	Admin    Source = "admin"  // the admin listener of an instance
 	Target   Source = "target" // of generated load
+	Record   Source = "record" // kept for the repeats of a request
 )
 
 // reason is what is malformed. It is a label of the metric.
@@ -73,15 +75,24 @@
 	if err != nil {
 		return nil, s.transportError(err)
 	}
-	if err := s.check(resp); err != nil {
+	if err := s.check(resp, discard); err != nil {
 		if resp.ProtoMajor == 1 { // a connection of HTTP/2 carries other requests
 			discard()
 		}
 		_ = resp.Body.Close()
 		return nil, err
 	}
-	if slices.Contains(resp.TransferEncoding, "chunked") { // other bodies of HTTP/1 have no trailer
-		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, source: s, discard: discard}
+	return resp, nil
+}
+
+// ReadResponse reads a response as http.ReadResponse does and returns an error that wraps ErrMalformed if it is malformed.
+func (s Source) ReadResponse(r *bufio.Reader) (*http.Response, error) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return nil, s.transportError(err)
+	}
+	if err := s.check(resp, func() {}); err != nil {
+		return nil, err
 	}
 	return resp, nil
 }
@@ -119,15 +130,22 @@
 	return err
 }
 
-// check returns an error if the status or the header is malformed.
-func (s Source) check(resp *http.Response) error {
+// check returns an error if the status or the header is malformed, and sees to it that the trailer is checked at the end of the
+// body. discard is called if that is malformed.
+func (s Source) check(resp *http.Response, discard func()) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return s.malformed(reasonStatus, fmt.Sprintf("status %03d", resp.StatusCode))
 	}
 	if err := s.checkHeader(resp.Header); err != nil {
 		return err
 	}
-	return s.checkHeader(resp.Trailer) // has the announced names
+	if err := s.checkHeader(resp.Trailer); err != nil { // the names that are announced
+		return err
+	}
+	if slices.Contains(resp.TransferEncoding, "chunked") { // other bodies of HTTP/1 have no trailer
+		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, source: s, discard: discard}
+	}
+	return nil
 }
 
 // checkHeader returns an error if the name of a field is malformed.
