--- a/internal/entry/trailer_test.go
+++ b/internal/entry/trailer_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -14,6 +15,7 @@
 			is := is.New(t)
 			h := newHarness(t, testRoute(), []string{newFixedUpstream(t, trailedHead+"2\r\nok\r\n0\r\n\r\n").addr})
 			h.client = client
+			h.client.Timeout = 5 * time.Second
 			r := h.do("GET", "/", nil)
 			is.NoErr(r.err)
 			is.Equal(r.body, "ok")
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -1,4 +1,5 @@
-// Package respcheck rejects malformed HTTP responses that net/http accepts.
+// Package respcheck rejects malformed HTTP responses that net/http accepts: those with a status out of range, or with an
+// invalid field name in a header or trailer. All responses that a decision depends on are read through it.
 package respcheck
 
 import (
@@ -52,8 +53,8 @@
 
 var errTooManyInterim = errors.New("too many 1xx responses")
 
-// RoundTrip sends a request and returns an error that wraps ErrMalformed if a response to it is malformed. The connection must
-// not be used again then, and the request may still be being written to it. interim, unless nil, is called with each 1xx
+// RoundTrip sends a request and returns an error that wraps ErrMalformed if a response to it is malformed. The caller must then
+// close the connection, to which the request may still be written. interim, unless nil, is called with each 1xx
 // response; its error ends the round trip.
 func (s Source) RoundTrip(base http.RoundTripper, req *http.Request, interim func(code int, header textproto.MIMEHeader) error) (*http.Response, error) {
 	return s.roundTrip(base, req, interim, func() {})
@@ -158,7 +159,7 @@
 	return nil
 }
 
-// invalidByte returns the first byte of an invalid field name that no valid one has. Errors have only this byte of it, since the rest may
+// invalidByte returns the first byte that makes a field name invalid. Errors name only this byte, since the rest of the name may
 // be part of a body or a secret.
 func invalidByte(name string) byte {
 	for i := range len(name) {
