--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,7 +24,7 @@
 	failUnreached         // no connection, or no byte was written to it
 	failShed              // the upstream reported that it did not run the request
 	failBusy              // the upstream returned an error that another one may not
-	failLost              // a byte was sent and no response arrived
+	failLost              // a byte was sent and no response arrived, or a malformed one
 	failDeadline          // the deadline passed
 	failCancelled         // the caller disconnected or another copy won
 	failBody              // reading the request body from the caller failed
--- a/internal/entry/malformed_test.go
+++ b/internal/entry/malformed_test.go
@@ -24,39 +24,39 @@
 	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
-// claims is a part of the header of a malformed response, which states that the request did not run and that the upstream is idle.
-const claims = "Turmericsail-Outcome: not-run\r\nTurmericsail-Load: in_flight=0, slots=9, state=ok\r\nRetry-After: 7\r\n"
+// statements are lines in the header of a malformed response: the request did not run, and the upstream is idle.
+const statements = "Turmericsail-Outcome: not-run\r\nTurmericsail-Load: in_flight=0, slots=9, state=ok\r\nRetry-After: 7\r\n"
 
-const okHead = "HTTP/1.1 200 OK\r\n" + claims
+const okHead = "HTTP/1.1 200 OK\r\n" + statements
 
 // malformedResponses are responses that must not reach callers, by what is malformed. Their body is "wrong".
 var malformedResponses = map[string]string{
-	"status 000":                "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status 000 and no body":    "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
-	"status 000 and no length":  "HTTP/1.1 000 X\r\n" + claims + "\r\nwrong",
-	"status 000 in chunks":      "HTTP/1.1 000 X\r\n" + claims + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-	"status 000 and a close":    "HTTP/1.1 000 X\r\n" + claims + "Content-Length: 5\r\nConnection: close\r\n\r\nwrong",
-	"status without a reason":   "HTTP/1.1 000\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status below 100":          "HTTP/1.1 099 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status with a plus sign":   "HTTP/1.1 +20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status with a minus sign":  "HTTP/1.1 -00 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status above 599":          "HTTP/1.1 600 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status above 599, no body": "HTTP/1.1 999 X\r\n" + claims + "Content-Length: 0\r\n\r\n",
+	"status 000":                "HTTP/1.1 000 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status 000 and no body":    "HTTP/1.1 000 X\r\n" + statements + "Content-Length: 0\r\n\r\n",
+	"status 000 and no length":  "HTTP/1.1 000 X\r\n" + statements + "\r\nwrong",
+	"status 000 in chunks":      "HTTP/1.1 000 X\r\n" + statements + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+	"status 000 and a close":    "HTTP/1.1 000 X\r\n" + statements + "Content-Length: 5\r\nConnection: close\r\n\r\nwrong",
+	"status without a reason":   "HTTP/1.1 000\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status below 100":          "HTTP/1.1 099 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status with a plus sign":   "HTTP/1.1 +20 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status with a minus sign":  "HTTP/1.1 -00 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status above 599":          "HTTP/1.1 600 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status above 599, no body": "HTTP/1.1 999 X\r\n" + statements + "Content-Length: 0\r\n\r\n",
 
 	"blank in a name":                okHead + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
 	"blank in a name and no body":    okHead + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
 	"blank before a colon":           okHead + "X-Y : 1\r\nContent-Length: 5\r\n\r\nwrong",
 	"blank before an empty value":    okHead + "Content-Length: 5\r\nX : \r\n\r\nwrong",
 	"blanks in a name, folded value": okHead + "Content-Length: 5\r\nX: 1\r\n  : 1\r\n : 2\r\nY  Z:\r\n\r\nwrong",
-	"blank in a refusal":             "HTTP/1.1 503 X\r\n" + claims + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
-	"blank in a refusal, no body":    "HTTP/1.1 503 X\r\n" + claims + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
-	"blank in an error":              "HTTP/1.1 404 X\r\n" + claims + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in a refusal":             "HTTP/1.1 503 X\r\n" + statements + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
+	"blank in a refusal, no body":    "HTTP/1.1 503 X\r\n" + statements + "X Y: 1\r\nContent-Length: 0\r\n\r\n",
+	"blank in an error":              "HTTP/1.1 404 X\r\n" + statements + "X Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
 	"blank after Content-Length":     okHead + "Content-Length : 5\r\n\r\nwrong, surplus",
 	"blank after Transfer-Encoding":  okHead + "Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
 	"blank after the second length":  okHead + "Content-Length: 5\r\nContent-Length : 9\r\n\r\nwrong",
 	"blank after the load":           "HTTP/1.1 200 OK\r\nTurmericsail-Load : slots=9\r\nContent-Length: 5\r\n\r\nwrong",
 	"blank in an announced trailer":  okHead + "Trailer: X Y\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
-	"no content":                     "HTTP/1.1 204 X\r\n" + claims + "X Y: 1\r\n\r\n",
+	"no content":                     "HTTP/1.1 204 X\r\n" + statements + "X Y: 1\r\n\r\n",
 
 	"NUL in a name":           okHead + "X\x00Y: 1\r\nContent-Length: 5\r\n\r\nwrong",
 	"DEL in a name":           okHead + "X\x7fY: 1\r\nContent-Length: 5\r\n\r\nwrong",
@@ -74,8 +74,8 @@
 
 // unreadableResponses are responses that net/http cannot read, so that nothing is known of them.
 var unreadableResponses = map[string]string{
-	"status that is hexadecimal": "HTTP/1.1 0x0 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
-	"status of two digits":       "HTTP/1.1 20 X\r\n" + claims + "Content-Length: 5\r\n\r\nwrong",
+	"status that is hexadecimal": "HTTP/1.1 0x0 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
+	"status of two digits":       "HTTP/1.1 20 X\r\n" + statements + "Content-Length: 5\r\n\r\nwrong",
 }
 
 // fixedUpstream sends the same response to each request and keeps its connections open.
@@ -316,7 +316,7 @@
 	for name, trailer := range malformedTrailers {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			bad, seen := newFixedUpstream(t, "HTTP/1.1 503 X\r\n"+claims+"Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n"+trailer+"\r\n"), &observations{upstream: "u1"}
+			bad, seen := newFixedUpstream(t, "HTTP/1.1 503 X\r\n"+statements+"Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n"+trailer+"\r\n"), &observations{upstream: "u1"}
 			h := newHarness(t, testRoute(), []string{bad.addr, serveUpstream(t, served)},
 				withPorts(func(p *Ports) { p.Placement, p.Observers = &inOrder{}, []Observer{seen} }))
 			r := h.do("POST", "/", nil)
--- a/internal/entry/ports.go
+++ b/internal/entry/ports.go
@@ -67,7 +67,7 @@
 	EndAnswered Ending = "answered"
 	// EndNotRun means that no byte reached the upstream, or that it reported not having run the request.
 	EndNotRun Ending = "not-run"
-	// EndLost means that the connection failed or the response was truncated after a byte was sent.
+	// EndLost means that the connection failed after a byte was sent, or that the response was truncated or malformed.
 	EndLost Ending = "lost"
 	// EndTimedOut means that the deadline or the stall timeout passed.
 	EndTimedOut Ending = "late"
@@ -201,8 +201,8 @@
 	Began    time.Time
 	// WithoutBody is set if the fingerprint leaves out a body that was not read before sending.
 	WithoutBody bool
-	// Lost is set if the connection was lost while the request ran. Otherwise the upstream sent a complete response
-	// that is no error of its own.
+	// Lost is set if the connection was lost while the request ran, or the response was malformed. Otherwise the upstream sent a
+	// complete response that is no error of its own.
 	Lost bool
 }
 
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -25,8 +25,8 @@
 // Sources of responses.
 const (
 	Upstream Source = "upstream"
-	Relay    Source = "relay" // another instance that serves a relayed request
-	Health   Source = "health"
+	Relay    Source = "relay"  // another instance that serves a relayed request
+	Health   Source = "health" // the health path of an upstream
 	Store    Source = "store"
 	Admin    Source = "admin"  // the admin listener of an instance
 	Target   Source = "target" // of generated load
