rollout: a new judge does not take a warm version for one that has just started

Cause, from the log of the judge's waits (trial): a version whose first answers reach the judge more than 1.5 s after the judge began is taken for one that started late, and stays in the canary stage for 3.5 s after them, since upstreams are cold for 3 s. After a restart of all instances the counts start again, and few requests go to the canary, so the first report with an answer can take as long although the upstreams have been warm for seconds. Quarter then began after 8.7 to 9.3 s in place of 5.0 to 5.5 s, and the last stage after 10.5 s, where 3.1 s for the last requests at old upstreams end after the time at which a roll-out without a verdict is rolled back.

Change: the judge waits only if the first answers came before the first upstream of the version was warm, which the starts of the upstreams tell each judge. If no start is known, it waits as before.

TestTimeOfTheFirstAnswers failed in its first two cases before ("wait (the version has answered for a short time), want advance").

--- a/internal/gateway/rollout.go
+++ b/internal/gateway/rollout.go
@@ -484,8 +484,13 @@
 		}
 	}
 	for _, u := range sides.Target {
-		if pool.InService(u) && now.Sub(time.UnixMilli(u.StartMillis)) >= coldTime {
-			f.Target++
+		warm := time.UnixMilli(u.StartMillis).Add(coldTime)
+		if !pool.InService(u) || now.Before(warm) {
+			continue
+		}
+		f.Target++
+		if u.StartMillis != 0 && (f.WarmSince.IsZero() || warm.Before(f.WarmSince)) {
+			f.WarmSince = warm
 		}
 	}
 	for _, route := range tables.Routes {
--- a/internal/gateway/rollout_test.go
+++ b/internal/gateway/rollout_test.go
@@ -326,6 +326,36 @@
 func (r storedRollouts) Instances() int                              { return 1 }
 func (r storedRollouts) Confirmed() time.Time                        { return time.Now() }
 
+// Guards against a judge that takes cold upstreams, those out of service or those without a known start for the first warm one.
+func TestFleetOfAPool(t *testing.T) {
+	now := time.Now().Truncate(time.Millisecond)
+	of := func(id, version string, age time.Duration) table.Upstream {
+		return table.Upstream{ID: id, Version: version, StartMillis: now.Add(-age).UnixMilli()}
+	}
+	unknown := table.Upstream{ID: "unknown", Version: "v2"}
+	for _, c := range []struct {
+		name      string
+		upstreams []table.Upstream
+		warm      int
+		since     time.Time
+	}{
+		{"cold", []table.Upstream{of("a", "v2", coldTime-time.Millisecond)}, 0, time.Time{}},
+		{"warm", []table.Upstream{of("a", "v2", coldTime)}, 1, now},
+		{"the first counts", []table.Upstream{of("a", "v2", 5*time.Second), of("b", "v2", 9*time.Second), of("c", "v2", 4*time.Second)}, 3, now.Add(coldTime - 9*time.Second)},
+		{"out of service", []table.Upstream{of("a", "v2", 5*time.Second), of("out", "v2", 9*time.Second)}, 1, now.Add(coldTime - 5*time.Second)},
+		{"unknown start", []table.Upstream{unknown}, 1, time.Time{}},
+		{"one unknown start", []table.Upstream{unknown, of("a", "v2", 5*time.Second)}, 2, now.Add(coldTime - 5*time.Second)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			pool := table.Pool{Name: "p", Discover: "p", UpstreamsOut: []string{"out"}, Upstreams: append(c.upstreams, of("old", "v1", time.Hour))}
+			f := fleetOf(table.NewTables(1, nil, []table.Pool{pool}), &pool, rollout.Rules{Target: "v2", Stage: rollout.Canary}, now)
+			if f.Old != 1 || f.Target != c.warm || !f.WarmSince.Equal(c.since) {
+				t.Errorf("%d old, %d warm since %v, want 1, %d, %v", f.Old, f.Target, f.WarmSince, c.warm, c.since)
+			}
+		})
+	}
+}
+
 // Guards against attempts that are counted for ever after the verdict, when nobody reads the counts.
 func TestNoTrackerAfterTheVerdict(t *testing.T) {
 	now := time.Now()
--- a/pkg/rollout/judge.go
+++ b/pkg/rollout/judge.go
@@ -81,6 +81,8 @@
 type Fleet struct {
 	// Old and Target are the numbers of upstreams in service of the old version, and of the target version that are warm.
 	Old, Target int
+	// WarmSince is when the first of the Target upstreams became warm, or zero if their starts are not known.
+	WarmSince time.Time
 	// Used is the number of upstreams of the target version that the stage uses.
 	Used int
 	// Limit is the longest time that a request of the pool may take.
@@ -123,7 +125,7 @@
 	all             Evidence
 	buckets         []bucket
 	condemned       string    // the reason
-	answered        time.Time // of the first answers of the target version
+	answered        time.Time // when the first answers of the target version were reported to this judge
 	atStage         map[Stage]Pair
 	suspected       time.Time // since when the version is suspicious
 	lookedAt        time.Time // when the versions were compared, with the result found
@@ -349,7 +351,8 @@
 		return "too few answers of the version for the last stage"
 	case target < min(minAnswers, int(minAnswersShare*float64(old))):
 		return "too few answers of the version"
-	case r.Stage == Canary && total.Target.Answers > 0 && now.Sub(j.answered) < minCanaryTime && j.answered.Sub(j.began) > learnTime:
+	case r.Stage == Canary && total.Target.Answers > 0 && now.Sub(j.answered) < minCanaryTime && j.answered.Sub(j.began) > learnTime &&
+		(f.WarmSince.IsZero() || j.answered.Before(f.WarmSince)):
 		return "the version has answered for a short time"
 	case r.Stage != Canary && float64(f.Target) < 0.5*float64(f.Old):
 		return "too few upstreams of the version are warm"
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -167,6 +167,41 @@
 	}
 }
 
+// Guards against a good version that is rolled back after a restart of all instances: the new judge hears of the first answers
+// some seconds after it begins and takes the version for one that has just started, until no time is left for the later stages.
+// A version that did start late is watched for its cold time.
+func TestTimeOfTheFirstAnswers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		name                       string
+		began, answered, warm, now float64
+		want                       Action
+	}{
+		{"judge that began after the version was warm", 4, 5.8, 3.2, 6.5, Advance},
+		{"judge that began while the version was cold", 3, 4.6, 3.2, 6.5, Advance},
+		{"judge that hears of earlier answers at once", 4, 4.5, 3.2, 6.5, Advance},
+		{"version that started late", 0.2, 2.5, 5, 5.8, Wait},
+		{"version that started late, warm", 0.2, 2.5, 5, 6.1, Advance},
+		{"version without known starts", 0.2, 2.5, 0, 5.8, Wait},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := NewJudge(at(c.began))
+			r := Begin(Order{Target: "v2", Duration: 14 * time.Second, Revision: 1}, nil, start)
+			j.Report("i", Report{Stage: Canary, Evidence: evidenceOf(Counts{10, 0, 10, 0}, Counts{}, 1)}, at(c.began+0.1))
+			j.Report("i", Report{Stage: Canary, Evidence: evidenceOf(Counts{1000, 0, 1000, 0}, Counts{50, 0, 50, 0}, 3)}, at(c.answered))
+			j.Report("i", Report{Stage: Canary, Evidence: evidenceOf(Counts{2000, 0, 2000, 0}, Counts{100, 0, 100, 0}, 3)}, at(c.now-0.1))
+			fleet := testFleet
+			if c.warm > 0 {
+				fleet.WarmSince = at(c.warm)
+			}
+			if d := j.Decide(at(c.now), &r, fleet); d.Action != c.want {
+				t.Errorf("%v (%s), want %v", d.Action, d.Reason, c.want)
+			}
+		})
+	}
+}
+
 // Guards against a judge that is cut off from most instances, but not from the store, and that advances or completes.
 func TestJudgeThatHearsFew(t *testing.T) {
 	start := time.Unix(1000, 0)
