entry: end a response over HTTP/2 whose announced trailer is not sent

Seen: a caller of HTTP/2 got the body and no end (61 s without a time-out) if an upstream announced a trailer and sent none; HTTP/1.1 was right.

Cause: net/http's client keeps an announced trailer that did not arrive as a name without values, and writeTrailers copied it. The HTTP/2 server of net/http then counts it as a trailer to send, encodes no field, and so writes no frame that ends the stream.

Change: trailers without values are not copied. The announcement stays.

--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -191,11 +191,12 @@
 	return true
 }
 
-// writeTrailers sends the trailers that followed the body.
+// writeTrailers sends the trailers that followed the body. It skips announced ones that did not arrive, which have no values: net/http
+// does not end an HTTP/2 response that has only trailers without values.
 func (c *copier) writeTrailers() {
 	h := c.x.w.Header()
 	for name, values := range c.a.resp.Trailer {
-		if hopByHop[name] || forbiddenTrailers[name] {
+		if len(values) == 0 || hopByHop[name] || forbiddenTrailers[name] {
 			continue
 		}
 		if !announced(h, name) {
