entry: do not take a reset that a write has seen for an end

What callers saw: an upstream answered a long upload at once with a 200, 404 or 500 without a length, sent nothing or a part of the body and reset the connection while the upload was being written. Callers of HTTP/1.1 and HTTP/2 got the part as a complete response.

Cause: Linux returns the error of a failed connection to one call only. If the write of the request gets ECONNRESET, the read of the response returns io.EOF, which ends a body without a length.

Change: respcheck.Conn wraps the connections to upstreams. A write records the error under a mutex that is held during the non-blocking system call only; a read that ends takes the mutex and returns the recorded failure in place of io.EOF. A write that got the error has therefore recorded it before the read can return, without a wait. A write that waits for the peer does not hold the mutex, so an orderly end beside a blocked upload is not delayed. EPIPE is not recorded: Linux returns it after the orderly end of the peer, too.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -61,7 +61,7 @@
 // rawConn returns the socket of a connection, or nil if it has none.
 func rawConn(c net.Conn) syscall.RawConn {
 	s, ok := c.(syscall.Conn)
-	if !ok || !socket.Readable {
+	if !ok || !socket.Usable {
 		return nil
 	}
 	raw, err := s.SyscallConn()
--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -28,11 +28,10 @@
 }
 
 func newCountedConn(c net.Conn) *countedConn {
-	counted := &countedConn{Conn: c, lost: make(chan struct{})}
-	if socket, ok := c.(syscall.Conn); ok {
-		if raw, err := socket.SyscallConn(); err == nil { // without it, only what was read is known
-			counted.raw = raw
-		}
+	conn := respcheck.NewConn(c)
+	counted := &countedConn{Conn: conn, lost: make(chan struct{})}
+	if raw, err := conn.SyscallConn(); err == nil { // without it, only what was read is known
+		counted.raw = raw
 	}
 	return counted
 }
--- a/internal/socket/read_unix.go
+++ b/internal/socket/io_unix.go
@@ -7,8 +7,18 @@
 	"syscall"
 )
 
-// Readable is set if Read can be used.
-const Readable = true
+// Usable is set if Read and Write can be used.
+const Usable = true
+
+// Write writes what the system takes, without waiting. The error is syscall.EAGAIN if that is nothing.
+func Write(fd uintptr, p []byte) (int, error) {
+	for {
+		n, err := syscall.Write(int(fd), p)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
 
 // Read reads what has arrived, without waiting. The error is syscall.EAGAIN if that is nothing, and io.EOF at the end.
 func Read(fd uintptr, p []byte) (int, error) {
