entry, callers: reset a caller of HTTP/1.0 whose response is cut short

What callers saw: a response that its upstream cut, or that the instance cut because of a stall, a slow caller or its own end, looked whole to callers of HTTP/1.0 if its length was not known. So did one that was cut during an upload.

Cause: HTTP/1.0 has no chunks, so the end of the connection completes such a response, and the instance ended the connection in order in both cases. TLS announced the end with close_notify.

Change: from the header of such a response on, a close of the connection resets it, by whatever it is caused, also by the system when the process is killed. Only a response that is complete and flushed ends in order. An aborted one sends nothing more, so TLS does not announce its end. If its caller is still sending the request, the rest is discarded first, within the bounds that hold after early responses: the system of the caller would give the reset to the sender and an orderly end to the reader. Stored responses have a length.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -109,6 +109,8 @@
 	written     bool // bytes of a response were sent
 	broken      bool // the caller has closed its side, or the connection has failed
 	inputClosed bool // net/http gets no more bytes
+	delimiting  bool // see DelimitByClose
+	aborted     bool // see AbortResponse
 	// sectionFailed is set if the header section was not read to its end.
 	sectionFailed bool
 	// sectionTimedOut is set if the latest read ended at a deadline before the end of the header section. It is not known on
@@ -166,7 +168,8 @@
 }
 
 // Write implements net.Conn. It fails on a connection that will be closed before it has carried a request, or whose header
-// section has timed out, where net/http would refuse an unfinished header section as malformed.
+// section has timed out, where net/http would refuse an unfinished header section as malformed. It also fails after an aborted
+// response, where TLS would announce an orderly end.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.isClosing() {
 		return 0, net.ErrClosed
@@ -184,7 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	// A connection that was idle has no unfinished section, and TLS announces its end.
-	return c.closed || c.overBudget || c.sectionTimedOut || c.retired && c.reason != ReasonIdle
+	return c.closed || c.aborted || c.overBudget || c.sectionTimedOut || c.retired && c.reason != ReasonIdle
 }
 
 // count adds bytes to the header section, if one is being read, and returns what they cost.
--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -35,29 +35,68 @@
 	c.responding = true
 }
 
-// FinishResponse records that the handler's response is complete. unread is set if it did not wait for the whole request, and
+// DelimitByClose records that the end of the connection will complete the response, as in HTTP/1.0 if its length is not known. Until
+// FinishResponse is called, a close resets the connection, also one by the system when the process ends.
+func (c *Conn) DelimitByClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delimiting = true
+	c.setLinger(0)
+}
+
+// AbortResponse records that a response will not be completed. It does nothing after FinishResponse, and if the end of the
+// connection would not complete the response. unread is set if the rest of the request is discarded before the connection is
+// reset: the system of a caller that is still sending would give the reset to the sender, and an orderly end to the reader.
+func (c *Conn) AbortResponse(unread bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.delimiting {
+		c.aborted, c.unread, c.inputClosed = true, unread, unread
+	}
+}
+
+// setLinger sets what a close does with bytes that were not sent yet: 0 discards them and resets the connection, -1 sends them.
+func (c *Conn) setLinger(seconds int) {
+	if s, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = s.SetLinger(seconds) // fails only on a closed connection
+	}
+}
+
+// FinishResponse records that the handler's response is complete, and sent if DelimitByClose was called. unread is set if it did not wait for the whole request, and
 // last if net/http closes the connection after it. Reads of net/http fail after both: it would wait for the request's end
 // before it closes the connection.
 func (c *Conn) FinishResponse(unread, last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.aborted {
+		return // meanwhile, because the process ends
+	}
+	if c.delimiting {
+		c.delimiting = false
+		c.setLinger(-1)
+	}
 	c.responding, c.unread = false, unread
 	c.inputClosed = unread && last
 }
 
-// lingers reports whether the connection must linger when net/http closes it: its last response is complete, one of a
-// handler or of net/http itself, and the caller may still be sending the request or has sent further ones.
+// lingers reports whether the connection must linger when net/http closes it: the caller may still be sending the request, or has
+// sent further ones, and the last response is aborted or complete, one of a handler or of net/http itself.
 func (c *Conn) lingers() bool {
-	return c.phase == PhaseActive && !c.multiplexed() && !c.responding && c.written && !c.broken && c.reason == "" &&
-		(c.unread || c.hasFurtherInput())
+	switch {
+	case c.phase != PhaseActive || c.multiplexed() || c.reason != "":
+		return false
+	case c.aborted:
+		return c.unread
+	}
+	return !c.responding && c.written && !c.broken && (c.unread || c.hasFurtherInput())
 }
 
 // hasFurtherInput reports whether bytes have arrived after a request that was read to its end. net/http reads the first of
 // them while the handler runs.
 func (c *Conn) hasFurtherInput() bool { return c.delivered || socket.HasUnread(c.raw) }
 
-// linger half-closes the connection and discards its input, after which it is closed. It reports false if that is not
-// possible.
+// linger half-closes the connection, unless its response is aborted, and discards its input, after which the connection is closed.
+// It reports false if that is not possible.
 func (c *Conn) linger() bool {
 	half, ok := c.Conn.(halfCloser)
 	if !ok {
@@ -69,10 +108,11 @@
 		return true
 	}
 	c.phase, c.delivered, c.inputClosed = PhaseClosing, false, true
+	aborted := c.aborted
 	c.mu.Unlock()
 	c.member.Enter(PhaseClosing)
 	c.release()
-	if half.CloseWrite() != nil {
+	if !aborted && half.CloseWrite() != nil {
 		return false // the connection has failed
 	}
 	go c.discard()
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -90,6 +91,9 @@
 		h[name] = values
 	}
 	h[x.e.proto.RequestID] = []string{x.id}
+	if len(s.Body) > 0 {
+		h["Content-Length"] = []string{strconv.Itoa(len(s.Body))} // without it, the end of the connection would complete it for HTTP/1.0
+	}
 	x.announceClose(h)
 	x.announceIdle(h)
 	x.report.status, x.report.outcome, x.report.bytesDown = s.Status, "stored", int64(len(s.Body))
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -25,12 +25,13 @@
 
 // uploaders returns callers of the protocols, by name.
 func uploaders() map[string]uploader {
-	return map[string]uploader{"HTTP/1.1": rawUpload("HTTP/1.1"), "HTTP/2": uploadOverHTTP2}
+	return map[string]uploader{"HTTP/1.0": rawUpload("HTTP/1.0"), "HTTP/1.1": rawUpload("HTTP/1.1"), "HTTP/2": uploadOverHTTP2}
 }
 
 // rawUpload reads the response while it sends the request, as net/http ends the connection if it cannot send the request.
 func rawUpload(protocol string) uploader {
 	return func(address, method string, chunked bool) (int, string, error) {
+		chunked = chunked && protocol != "HTTP/1.0" // which has no chunks
 		head, body := upload{size: longUpload, chunked: chunked}.message()
 		head = strings.Replace(head, "POST /x HTTP/1.1", method+" /x "+protocol, 1)
 		c, err := net.Dial("tcp", address)
--- a/internal/entry/ending.go
+++ b/internal/entry/ending.go
@@ -56,6 +56,16 @@
 	return all
 }
 
+// abortResponses aborts the responses that the end of their connections would complete, before all connections are closed. There is
+// no time left to discard what their callers still send.
+func (r *endingRequests) abortResponses() {
+	for _, x := range r.registered() {
+		if x.conn != nil {
+			x.conn.AbortResponse(false)
+		}
+	}
+}
+
 // add registers a request.
 func (r *endingRequests) add(x *exchange) {
 	r.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,6 +178,7 @@
 // Serve serves callers on l until ctx ends.
 func (e *Entry) Serve(ctx context.Context, l net.Listener) error {
 	defer context.AfterFunc(ctx, func() {
+		e.ending.abortResponses()
 		_ = e.server.Close()
 		_ = e.relayedServer.Close()
 	})()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -40,6 +40,7 @@
 	r          *http.Request
 	control    http.ResponseController
 	conn       *callers.Conn // nil if the request was relayed
+	delimited  bool          // the end of the caller's connection completes the response
 	relayed    bool          // received from an entry outside the home regions
 	needsRelay bool          // must be relayed to an entry inside the home regions
 
@@ -134,6 +135,7 @@
 	x.conn, _ = r.Context().Value(callerConnKey{}).(*callers.Conn)
 	if x.conn != nil && r.ProtoMajor == 1 {
 		x.conn.StartResponse()
+		defer func() { x.conn.AbortResponse(x.bodyUnread()) }() // unless it is finished
 	}
 	x.firstTry = reusesConnection(r.Context()) && e.proto.RetryOpensConnection
 	e.running.Add(1)
@@ -146,6 +148,7 @@
 	if refusal := x.run(); refusal != nil && !x.report.aborted {
 		x.refuse(refusal)
 	}
+	x.flushDelimited()
 	x.close()
 	x.record()
 	if x.report.aborted {
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -100,12 +100,28 @@
 	x.announceClose(h)
 	x.announceIdle(h)
 	x.report.status, x.report.outcome = resp.StatusCode, "answered"
+	if x.conn != nil && !x.r.ProtoAtLeast(1, 1) && resp.ContentLength < 0 && x.r.Method != http.MethodHead {
+		x.delimited = true
+		x.conn.DelimitByClose()
+	}
 	x.w.WriteHeader(resp.StatusCode)
 	if resp.ContentLength < 0 {
 		_ = x.control.Flush() // the upstream may wait for more request bytes before it sends a body
 	}
 }
 
+// flushDelimited sends the rest of a response that the end of the connection completes, before which the connection may not end in
+// order.
+func (x *exchange) flushDelimited() {
+	if !x.delimited || x.report.aborted {
+		return
+	}
+	x.watch(phaseWriting)
+	if err := x.control.Flush(); err != nil {
+		x.report.aborted, x.report.outcome = true, "aborted"
+	}
+}
+
 // announceClose tells the caller that its connection ends with the response, if it does. An instance that leaves closes its
 // connections as they become idle.
 func (x *exchange) announceClose(h http.Header) {
