respcheck, entry: count, log and judge a response that was cut short

What operators saw: a response that its upstream cut after the header left no reason in the log (the line of its attempt was written before, the line of the request had no cause), no metric told how often it happened, and what its header stated about the load was observed once more at its end, with its status.

Cause: each reader took errors of the body as they came. Only malformed trailers were an error of their own.

Change: respcheck decides for all readers what the end of a body means. A body that ends early is ErrCut, with the reason (reset, early-end or failure) in turmericsail_cut_responses_total{source,reason}, unless its reader gave it up. Such an attempt is lost, as before, without status and load; the lines of the attempt and of the request name the reason. Aborts by the instance name theirs, too: a stall, a slow caller, a caller that left. A refusal whose body is cut is still believed, since its header is whole and upstreams that refuse an upload early often reset the connection.

--- a/internal/entry/attemptend.go
+++ b/internal/entry/attemptend.go
@@ -59,12 +59,23 @@
 	return n, err
 }
 
+// readError returns why a read of the response failed.
+func (a *attempt) readError(err error) error {
+	if cause := context.Cause(a.ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // discardResponse ends an attempt whose response is not sent to the caller.
 func (a *attempt) discardResponse(e Ending) {
 	if !a.ended {
 		complete := false
-		if e != EndCancelled {
-			complete, _ = drain(a.resp.Body) // the response is not needed
+		if e != EndCancelled { // the response is not needed, and its status counts although its body may be broken
+			var err error
+			if complete, err = drain(a.resp.Body); respcheck.Broken(err) {
+				a.err = err
+			}
 		}
 		a.end(e, complete)
 	}
@@ -116,11 +127,10 @@
 	if !a.sentAt.IsZero() {
 		r.Total = time.Since(a.sentAt)
 	}
-	switch {
-	case a.resp == nil:
-	case a.malformed():
+	if a.broken() {
 		a.x.logAttempt(a) // once more, since the line of the response's header has no error
-	default:
+	}
+	if refused := e == EndNotRun || e == EndAnswered; a.resp != nil && (refused || !a.broken()) {
 		r.Status = a.resp.StatusCode
 	}
 	a.permit.Done(r)
@@ -132,8 +142,8 @@
 	a.x.e.countCrossRegion(a.upstream.Region, a.bytesUp(), a.bytesDown)
 }
 
-// malformed reports whether the response turned out to be malformed, so that nothing in it counts.
-func (a *attempt) malformed() bool { return errors.Is(a.err, respcheck.ErrMalformed) }
+// broken reports whether the response turned out to be malformed or was cut short after its header.
+func (a *attempt) broken() bool { return a.resp != nil && respcheck.Broken(a.err) }
 
 // reportRun reports the end of a run to quarantine. The fingerprint of a body that was not read before sending is known
 // only now.
@@ -163,7 +173,7 @@
 	}
 	o := &Observation{Pool: &a.x.pool, Route: &a.x.route, Upstream: a.upstream, Result: r, BytesUp: a.bytesUp(), BytesDown: a.bytesDown, Hedge: a.second}
 	o.Superseded = r.Ending == EndCancelled && errors.Is(context.Cause(a.ctx), errSuperseded)
-	if a.resp != nil && !a.malformed() {
+	if a.resp != nil && !a.broken() {
 		o.Load = a.resp.Header.Get(a.x.e.proto.Load)
 	}
 	o.Refused = r.Ending == EndNotRun && a.conn == nil && a.err != nil && !errors.Is(a.err, errNoConnection)
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -111,11 +111,13 @@
 		err = errLeaving
 	}
 	if err != nil {
+		refusal := refuseUpstream()
+		refusal.Cause = c.a.readError(err) // before the attempt ends, which cancels it
 		c.a.err = err
 		c.a.end(c.collectEnding(), false)
 		c.x.maybeRan.Store(true)
 		c.x.settleClaim(t)
-		return refuseUpstream()
+		return refusal
 	}
 	if complete {
 		c.a.end(EndAnswered, true)
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -25,14 +25,14 @@
 
 // uploaders returns callers of the protocols, by name.
 func uploaders() map[string]uploader {
-	return map[string]uploader{"HTTP/1.0": rawUpload("HTTP/1.0"), "HTTP/1.1": rawUpload("HTTP/1.1"), "HTTP/2": uploadOverHTTP2}
+	return map[string]uploader{"HTTP/1.0": rawUpload("HTTP/1.0", ""), "HTTP/1.1": rawUpload("HTTP/1.1", ""), "HTTP/2": uploadOverHTTP2}
 }
 
 // rawUpload reads the response while it sends the request, as net/http ends the connection if it cannot send the request.
-func rawUpload(protocol string) uploader {
+func rawUpload(protocol, header string) uploader {
 	return func(address, method string, chunked bool) (int, string, error) {
 		chunked = chunked && protocol != "HTTP/1.0" // which has no chunks
-		head, body := upload{size: longUpload, chunked: chunked}.message()
+		head, body := upload{size: longUpload, chunked: chunked, header: header}.message()
 		head = strings.Replace(head, "POST /x HTTP/1.1", method+" /x "+protocol, 1)
 		c, err := net.Dial("tcp", address)
 		if err != nil {
@@ -109,6 +109,9 @@
 			for _, status := range []int{200, 404, 500} {
 				for _, size := range []int{0, 200} {
 					t.Run(fmt.Sprintf("%s/%s/%d/%d bytes", protocol, end, status, size), func(t *testing.T) {
+						if protocol == "HTTP/1.0" { // its callers wait until the rest of the upload has been discarded
+							t.Parallel()
+						}
 						is := is.New(t)
 						u := respchecktest.ServeEarly(t, fmt.Sprintf("HTTP/1.1 %d X\r\n\r\n%s", status, strings.Repeat("p", size)), end)
 						h := newHarness(t, testRoute(), []string{u.Address})
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -21,6 +21,8 @@
 	errStalled    = errors.New("the response made no progress")
 	errSuperseded = errors.New("another copy of the request was answered first")
 	errEnded      = errors.New("the attempt has ended")
+	errSlowCaller = errors.New("the caller did not read the response in time")
+	errCallerLost = errors.New("the connection of the caller failed")
 )
 
 // phase is what the watchdog timer of an exchange currently limits.
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"os"
 	"sync"
 	"time"
 )
@@ -118,7 +119,7 @@
 	}
 	x.watch(phaseWriting)
 	if err := x.control.Flush(); err != nil {
-		x.report.aborted, x.report.outcome = true, "aborted"
+		x.abort(callerError(err))
 	}
 }
 
@@ -156,9 +157,12 @@
 		case err == io.EOF:
 			c.writeTrailers()
 			return
-		case err != nil && !c.failover(err):
-			c.abort()
-			return
+		case err != nil:
+			cause := c.a.readError(err) // before the attempt ends, which cancels it
+			if !c.failover(err) {
+				c.x.abort(cause)
+				return
+			}
 		}
 	}
 }
@@ -176,7 +180,7 @@
 	}
 	if err != nil && c.x.r.Method != http.MethodHead {
 		c.a.end(EndCancelled, false)
-		c.abort()
+		c.x.abort(callerError(err))
 		return false
 	}
 	return true
@@ -233,6 +237,17 @@
 
 // abort marks the response as aborted, so that the caller sees a connection or stream
 // error rather than a truncated response.
-func (c *copier) abort() {
-	c.x.report.aborted, c.x.report.outcome = true, "aborted"
+func (x *exchange) abort(cause error) {
+	x.report.aborted, x.report.outcome, x.report.cause = true, "aborted", cause.Error()
+	if cause != errSlowCaller && x.callerGone() { // net/http reports the caller as gone after each failed write
+		x.report.cause = callerLeft
+	}
+}
+
+// callerError returns the error for a failed write to the caller. It does not name the caller's address.
+func callerError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return errSlowCaller
+	}
+	return errCallerLost
 }
--- a/pkg/respcheck/respcheck.go
+++ b/pkg/respcheck/respcheck.go
@@ -1,16 +1,16 @@
-// Package respcheck rejects malformed HTTP responses that net/http accepts: those with a status out of range, or with an
-// invalid field name in a header or trailer. All responses that a decision depends on are read through it.
+// Package respcheck rejects broken HTTP responses that net/http accepts: malformed ones, with a status out of range or with an
+// invalid field name in a header or trailer, and ones that were cut short, whose end a failure of the connection hides. All
+// responses that a decision depends on are read through it.
 package respcheck
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
-	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/net/http/httpguts"
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, s.transportError(err)
 	}
-	if err := s.check(resp, discard); err != nil {
+	if err := s.check(req.Context(), resp, discard); err != nil {
 		if resp.ProtoMajor == 1 { // a connection of HTTP/2 carries other requests
 			discard()
 		}
@@ -92,36 +92,12 @@
 	if err != nil {
 		return nil, s.transportError(err)
 	}
-	if err := s.check(resp, func() {}); err != nil {
+	if err := s.check(context.Background(), resp, func() {}); err != nil {
 		return nil, err
 	}
 	return resp, nil
 }
 
-// trailedBody is a body whose end is an error if the trailer that follows it is malformed.
-type trailedBody struct {
-	io.ReadCloser
-	resp    *http.Response
-	source  Source
-	discard func() // closes the connection
-}
-
-// Read implements io.Reader.
-func (b *trailedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == nil:
-	case err != io.EOF:
-		err = b.source.transportError(err)
-	default:
-		if malformed := b.source.checkHeader(b.resp.Trailer); malformed != nil {
-			b.discard()
-			err = malformed
-		}
-	}
-	return n, err
-}
-
 // transportError returns the error for a failed round trip. Lines that net/textproto refuses make a response malformed.
 func (s Source) transportError(err error) error {
 	var refused textproto.ProtocolError
@@ -131,9 +107,9 @@
 	return err
 }
 
-// check returns an error if the status or the header is malformed, and sees to it that the trailer is checked at the end of the
-// body. discard is called if that is malformed.
-func (s Source) check(resp *http.Response, discard func()) error {
+// check returns an error if the status or the header is malformed, and sees to it that the end of the body is checked. discard is
+// called if its trailer is malformed.
+func (s Source) check(ctx context.Context, resp *http.Response, discard func()) error {
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return s.malformed(reasonStatus, fmt.Sprintf("status %03d", resp.StatusCode))
 	}
@@ -143,8 +119,8 @@
 	if err := s.checkHeader(resp.Trailer); err != nil { // the names that are announced
 		return err
 	}
-	if slices.Contains(resp.TransferEncoding, "chunked") { // other bodies of HTTP/1 have no trailer
-		resp.Body = &trailedBody{ReadCloser: resp.Body, resp: resp, source: s, discard: discard}
+	if resp.Body != http.NoBody && resp.StatusCode != http.StatusSwitchingProtocols {
+		resp.Body = &checkedBody{ReadCloser: resp.Body, ctx: ctx, resp: resp, source: s, discard: discard}
 	}
 	return nil
 }
