probe: a health response that was cut short is no sign of health

An upstream that cut its health response counted as healthy, and its load was believed: the check ignored errors of the body other than malformed trailers. It fails for all of them now.

--- a/pkg/probe/check.go
+++ b/pkg/probe/check.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -59,7 +58,7 @@
 		return r
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes)); errors.Is(err, respcheck.ErrMalformed) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBodyBytes)); err != nil {
 		return r
 	}
 	r.OK = response.StatusCode/100 == 2
