entry: a probe whose response was cut short fails

Ask returned the status and header of a response whose body was cut, since it ignored errors of the body other than malformed trailers. It returns all of them now.

--- a/internal/entry/ask.go
+++ b/internal/entry/ask.go
@@ -42,7 +42,7 @@
 			} else {
 				conns.discard(conn)
 			}
-			if errors.Is(err, respcheck.ErrMalformed) {
+			if err != nil {
 				return 0, nil, err
 			}
 			return resp.StatusCode, resp.Header, nil
