consulkv: a write that the store cut short is not done

As in the platform's store: the part of an answer that arrived before a reset counted as the whole answer to a write. The default client uses respcheck.Dial now; one that is passed in Config keeps its own connections.

--- a/pkg/store/consulkv/consulkv.go
+++ b/pkg/store/consulkv/consulkv.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -68,7 +69,9 @@
 		c.watchWait = time.Minute
 	}
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 2 * time.Minute}}
+		c.http = &http.Client{Transport: &http.Transport{
+			DialContext: respcheck.Dial(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 8, IdleConnTimeout: 2 * time.Minute,
+		}}
 	}
 	c.http = respcheck.Store.Client(c.http)
 	return c, nil
