load: a response that the target cut short is a failure

A response without a length that was reset during the upload counted as a success, since the write of the request had taken the error. The transport uses respcheck.Dial now, and all cuts count as "answer cut off"; a reset was "no answer" before.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -93,7 +94,10 @@
 }
 
 func newTransport(h2 bool) http.RoundTripper {
-	t := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute, DisableCompression: true, Protocols: new(http.Protocols)}
+	t := &http.Transport{
+		DialContext: respcheck.Dial(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 256, IdleConnTimeout: time.Minute,
+		DisableCompression: true, Protocols: new(http.Protocols),
+	}
 	t.Protocols.SetHTTP1(!h2)
 	t.Protocols.SetHTTP2(h2)
 	t.Protocols.SetUnencryptedHTTP2(h2)
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -130,7 +130,7 @@
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		reason = "time-out"
-	case errors.Is(err, io.ErrUnexpectedEOF):
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, respcheck.ErrCut):
 		reason = "answer cut off"
 	case errors.Is(err, respcheck.ErrMalformed):
 		reason = "malformed answer"
