respcheck: keep a whole response when the write of its request fails

What callers saw: an upstream answered a long upload early, ended its side in order and reset the connection 2 ms later, as servers do that close while the upload still arrives. Callers got 502 or an aborted response, although the response was whole.

Cause: net/http closes a connection whose write has failed, and loses what it has not read yet.

Change: a failed write of respcheck.Conn returns when a read has met the end, or when the connection is closed. On a failed connection reads do not block, so the response is read as far as it has arrived, and its end decides whether it is whole. The wait has a bound for users that read in the goroutine of the write. The count of sent bytes moves into respcheck.Conn, since it must be right before the wait. Two tests of read while the write waits now.

--- a/internal/entry/conn.go
+++ b/internal/entry/conn.go
@@ -16,11 +16,10 @@
 	"github.com/turmericsail/turmericsail/pkg/respcheck"
 )
 
-// countedConn counts the bytes written to the operating system's socket. A count
-// that did not change proves that no byte of a request reached the upstream.
+// countedConn is a connection whose count of sent bytes proves, if it did not change, that no byte of a request reached the
+// upstream.
 type countedConn struct {
-	net.Conn
-	sent    atomic.Int64
+	*respcheck.Conn
 	reading atomic.Bool     // a Read is waiting, so its caller has used all bytes before
 	raw     syscall.RawConn // nil if it is not a socket
 	lost    chan struct{}   // closed when a Read has failed, after which no response can arrive
@@ -47,17 +46,6 @@
 	return n, err
 }
 
-// Write implements net.Conn. The count is raised before the write, so that it is
-// never too low while a write is in progress.
-func (c *countedConn) Write(p []byte) (int, error) {
-	c.sent.Add(int64(len(p)))
-	n, err := c.Conn.Write(p)
-	if n < len(p) {
-		c.sent.Add(int64(n - len(p)))
-	}
-	return n, err
-}
-
 // upstreamConn is one HTTP/1.1 connection to an upstream. It carries one request at a time.
 type upstreamConn struct {
 	client    *http.ClientConn
@@ -71,10 +59,10 @@
 // roundTrip sends a request and waits for the response header. sent reports whether any byte
 // of the request may have reached the upstream. interim, unless nil, is called with each 1xx response.
 func (c *upstreamConn) roundTrip(req *http.Request, interim func(int, textproto.MIMEHeader) error) (resp *http.Response, sent bool, err error) {
-	before := c.counted.sent.Load()
+	before := c.counted.Sent()
 	resp, err = c.source.RoundTrip(c.client, req, interim)
 	// After a malformed response, the request may still be written until the connection is closed.
-	sent = c.counted.sent.Load() != before || errors.Is(err, respcheck.ErrMalformed)
+	sent = c.counted.Sent() != before || errors.Is(err, respcheck.ErrMalformed)
 	return resp, sent, err
 }
 
--- a/internal/entry/cut_test.go
+++ b/internal/entry/cut_test.go
@@ -129,7 +129,7 @@
 func TestEarlyResponseThatEndsInOrderIsWhole(t *testing.T) {
 	const plays = 60
 	for protocol, send := range uploaders() {
-		for _, end := range []respchecktest.End{respchecktest.Finish} {
+		for _, end := range []respchecktest.End{respchecktest.Finish, respchecktest.FinishThenReset} {
 			for _, status := range []int{200, 404, 500} {
 				for _, size := range []int{0, 200} {
 					t.Run(fmt.Sprintf("%s/%s/%d/%d bytes", protocol, end, status, size), func(t *testing.T) {
--- a/pkg/respcheck/conn.go
+++ b/pkg/respcheck/conn.go
@@ -7,7 +7,9 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/turmericsail/turmericsail/internal/socket"
 )
@@ -16,9 +18,13 @@
 //
 // The system returns the error of a connection that has failed, such as a reset, to one call only. If a write of the request
 // gets it, the next read returns io.EOF, which would end a response without a length.
+//
+// A write that has failed returns when a read has met the end, too, or the connection is closed: net/http closes a connection whose
+// write has failed, and would lose what is left of a response. Another goroutine must therefore read, as that of net/http does.
 type Conn struct {
 	net.Conn
-	raw syscall.RawConn // nil if it is not a socket
+	raw  syscall.RawConn // nil if it is not a socket
+	sent atomic.Int64
 
 	writing sync.Mutex // held during Write
 	// The source and result of writeAvailable, whose method value is kept to save allocations.
@@ -31,8 +37,14 @@
 	// ends at the same time waits for the record only.
 	mu      sync.Mutex
 	failure error // that a write got
+
+	over chan struct{} // closed when no further read can succeed
+	end  sync.Once
 }
 
+// maxDrainTime bounds how long a failed write waits for the reads.
+const maxDrainTime = 30 * time.Second
+
 var (
 	_ net.Conn     = (*Conn)(nil)
 	_ syscall.Conn = (*Conn)(nil)
@@ -40,7 +52,7 @@
 
 // NewConn returns a Conn on c. If c is not a socket, its own reads tell how it has ended.
 func NewConn(c net.Conn) *Conn {
-	conn := &Conn{Conn: c}
+	conn := &Conn{Conn: c, over: make(chan struct{})}
 	conn.writeNow = conn.writeAvailable
 	if s, ok := c.(syscall.Conn); ok && socket.Usable {
 		if raw, err := s.SyscallConn(); err == nil { // it fails only on a closed connection, whose first read fails, too
@@ -72,9 +84,15 @@
 	return c.raw, nil
 }
 
+// Sent returns the number of bytes that the system may have taken. It is not too low while a write is in progress.
+func (c *Conn) Sent() int64 { return c.sent.Load() }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.endReads()
+	}
 	if err == io.EOF || errors.Is(err, net.ErrClosed) { // closed, as net/http does after a failed write
 		if failure := c.failed(); failure != nil {
 			err = c.opError("read", failure)
@@ -83,6 +101,14 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.endReads()
+	return c.Conn.Close()
+}
+
+func (c *Conn) endReads() { c.end.Do(func() { close(c.over) }) }
+
 func (c *Conn) failed() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,9 +117,30 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	if c.raw == nil {
-		return c.Conn.Write(p)
+	c.sent.Add(int64(len(p)))
+	write := c.Conn.Write
+	if c.raw != nil {
+		write = c.writeSocket
+	}
+	n, err := write(p)
+	c.sent.Add(int64(n - len(p)))
+	if c.raw != nil && err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.awaitReads()
+	}
+	return n, err
+}
+
+// awaitReads waits until no further read can succeed. On a connection that has failed, reads do not block.
+func (c *Conn) awaitReads() {
+	bound := time.NewTimer(maxDrainTime)
+	defer bound.Stop()
+	select {
+	case <-c.over:
+	case <-bound.C:
 	}
+}
+
+func (c *Conn) writeSocket(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	c.src, c.written, c.writeErr = p, 0, nil
--- a/pkg/respcheck/conn_test.go
+++ b/pkg/respcheck/conn_test.go
@@ -50,12 +50,15 @@
 	is.NoErr(err)
 	is.NoErr(peer.SetLinger(0))
 	is.NoErr(peer.Close())
-	is.True(errors.Is(fill(conn), syscall.ECONNRESET))
+	written := make(chan error, 1)
+	go func() { written <- fill(conn) }()
+	time.Sleep(20 * time.Millisecond) // the write has the error
 	for range 2 {
 		data, err := io.ReadAll(conn)
 		is.True(errors.Is(err, syscall.ECONNRESET))
 		is.True(len(data) == 0 || string(data) == "part")
 	}
+	is.True(errors.Is(<-written, syscall.ECONNRESET))
 }
 
 // Guards against the same while the write is still in progress: the system has given it the error, which is not recorded yet.
@@ -104,19 +107,39 @@
 					time.Sleep(time.Millisecond) // the end arrives
 					is.NoErr(peer.SetLinger(0))
 					is.NoErr(peer.Close())
-					is.True(errors.Is(<-written, syscall.EPIPE) || runtime.GOOS != "linux")
+					time.Sleep(time.Millisecond) // the write fails
 				}
 				start := time.Now()
 				data, err := io.ReadAll(conn)
 				is.NoErr(err)
 				is.Equal(string(data), "whole")
 				is.True(time.Since(start) < time.Second)
+				if resets {
+					is.True(errors.Is(<-written, syscall.EPIPE) || runtime.GOOS != "linux")
+				}
 				_ = conn.Close()
 			}
 		})
 	}
 }
 
+// Guards against a whole response that is lost because the connection is closed after a failed write, as net/http does.
+func TestFailedWriteLeavesTheResponse(t *testing.T) {
+	is := is.New(t)
+	conn, peer := connect(t)
+	go func() { _ = fill(conn); _ = conn.Close() }()
+	_, err := peer.Write([]byte("whole"))
+	is.NoErr(err)
+	is.NoErr(peer.CloseWrite())
+	time.Sleep(time.Millisecond) // the end arrives
+	is.NoErr(peer.SetLinger(0))
+	is.NoErr(peer.Close())
+	time.Sleep(20 * time.Millisecond) // the write fails
+	data, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.Equal(string(data), "whole")
+}
+
 // Guards against a write that loses, repeats or reorders bytes when the system takes a part of them.
 func TestWriteOfMoreThanTheSystemTakes(t *testing.T) {
 	is := is.New(t)
--- a/pkg/respcheck/respchecktest/end.go
+++ b/pkg/respcheck/respchecktest/end.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/turmericsail/turmericsail/internal/socket"
 )
@@ -23,8 +24,13 @@
 	Unread End = "close with unread bytes"
 	// Finish ends the server's side and discards what still arrives.
 	Finish End = "end"
+	// FinishThenReset ends the server's side, and resets the connection a moment later.
+	FinishThenReset End = "end, then reset"
 )
 
+// resetDelay is the time between both parts of FinishThenReset.
+const resetDelay = 2 * time.Millisecond
+
 // readAhead is the size in bytes of the buffer for requests. It is the smallest one, so that most of what arrives stays unread.
 const readAhead = 16
 
@@ -80,5 +86,9 @@
 	case Finish:
 		_ = c.CloseWrite()
 		_, _ = io.Copy(io.Discard, c)
+	case FinishThenReset:
+		_ = c.CloseWrite()
+		time.Sleep(resetDelay)
+		_ = c.SetLinger(0)
 	}
 }
