admin: an answer that was cut short is not whole

The connection of `where` was reset while a long question was being sent, and the part of the answer that had arrived was printed as the whole answer, since the write of the question had taken the error. Clients of respcheck without a transport use one whose connections tell a reset from an orderly end.

--- a/pkg/respcheck/client.go
+++ b/pkg/respcheck/client.go
@@ -6,11 +6,24 @@
 	"net/http/httptrace"
 )
 
+// defaultTransport is http.DefaultTransport with connections that tell a reset from an orderly end.
+var defaultTransport = newDefaultTransport()
+
+func newDefaultTransport() http.RoundTripper {
+	base, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		return http.DefaultTransport // replaced by the program
+	}
+	t := base.Clone()
+	t.DialContext = Dial(t.DialContext)
+	return t
+}
+
 // Client returns a client like c that gets an error in place of a malformed response.
 func (s Source) Client(c *http.Client) *http.Client {
 	checked := *c
 	if checked.Transport == nil {
-		checked.Transport = http.DefaultTransport
+		checked.Transport = defaultTransport
 	}
 	checked.Transport = s.Transport(checked.Transport)
 	return &checked
