--- a/internal/callers/linger.go
+++ b/internal/callers/linger.go
@@ -62,9 +62,9 @@
 	}
 }
 
-// FinishResponse records that the handler's response is complete, and sent if DelimitByClose was called. unread is set if it did not wait for the whole request, and
-// last if net/http closes the connection after it. Reads of net/http fail after both: it would wait for the request's end
-// before it closes the connection.
+// FinishResponse records that the handler's response is complete, and sent if DelimitByClose was called. unread is set if it did
+// not wait for the whole request, and last if net/http closes the connection after it. Reads of net/http fail after both: it
+// would wait for the request's end before it closes the connection.
 func (c *Conn) FinishResponse(unread, last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -137,7 +137,7 @@
 	x.conn, _ = r.Context().Value(callerConnKey{}).(*callers.Conn)
 	if x.conn != nil && r.ProtoMajor == 1 {
 		x.conn.StartResponse()
-		defer func() { x.conn.AbortResponse(x.bodyUnread()) }() // unless it is finished
+		defer func() { x.conn.AbortResponse(x.bodyUnread()) }() // does nothing after finishResponse
 	}
 	x.firstTry = reusesConnection(r.Context()) && e.proto.RetryOpensConnection
 	e.running.Add(1)
--- a/internal/entry/response.go
+++ b/internal/entry/response.go
@@ -101,7 +101,7 @@
 	x.announceClose(h)
 	x.announceIdle(h)
 	x.report.status, x.report.outcome = resp.StatusCode, "answered"
-	if x.conn != nil && !x.r.ProtoAtLeast(1, 1) && resp.ContentLength < 0 && x.r.Method != http.MethodHead {
+	if x.conn != nil && !x.r.ProtoAtLeast(1, 1) && resp.ContentLength < 0 && x.r.Method != http.MethodHead { // HTTP/1.0 has no chunks
 		x.delimited = true
 		x.conn.DelimitByClose()
 	}
--- a/test/e2e/shutdown_test.go
+++ b/test/e2e/shutdown_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -25,9 +26,9 @@
 }
 
 // startEntryWithSlowUpstream starts an entry whose upstream sends the second half of
-// its response only after release is closed. It sends one request and returns when
+// its response only after release is closed. It sends one request with ask and returns when
 // the upstream runs it; the channel delivers the response.
-func startEntryWithSlowUpstream(t *testing.T, release <-chan struct{}) (*entry, <-chan responseResult) {
+func startEntryWithSlowUpstream(t *testing.T, release <-chan struct{}, ask func(address string) responseResult) (*entry, <-chan responseResult) {
 	t.Helper()
 	running := make(chan struct{}, 1)
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -51,16 +52,7 @@
 	e.untilReady(t)
 
 	result := make(chan responseResult, 1)
-	go func() {
-		resp, err := client.Get("http://" + e.callerAddress + "/")
-		if err != nil {
-			result <- responseResult{"", err}
-			return
-		}
-		defer resp.Body.Close()
-		body, err := io.ReadAll(resp.Body)
-		result <- responseResult{string(body), err}
-	}()
+	go func() { result <- ask(e.callerAddress) }()
 	select {
 	case <-running:
 	case got := <-result:
@@ -69,6 +61,35 @@
 	return e, result
 }
 
+// askHTTP11 sends a request over HTTP/1.1.
+func askHTTP11(address string) responseResult {
+	resp, err := client.Get("http://" + address + "/")
+	if err != nil {
+		return responseResult{"", err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return responseResult{string(body), err}
+}
+
+// askHTTP10 sends a request over HTTP/1.0.
+func askHTTP10(address string) responseResult {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return responseResult{"", err}
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+		return responseResult{"", err}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return responseResult{"", err}
+	}
+	body, err := io.ReadAll(resp.Body)
+	return responseResult{string(body), err}
+}
+
 // untilLeaving waits until the entry has begun its shutdown.
 func (e *entry) untilLeaving(t *testing.T) {
 	t.Helper()
@@ -82,7 +103,7 @@
 func TestShutdownFinishesRunningAnswers(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
-	e, result := startEntryWithSlowUpstream(t, release)
+	e, result := startEntryWithSlowUpstream(t, release, askHTTP11)
 	e.signal(t, syscall.SIGTERM)
 	e.untilLeaving(t)
 	until(t, "entry stops accepting connections", func() bool {
@@ -105,7 +126,7 @@
 	is := is.New(t)
 	release := make(chan struct{})
 	defer close(release)
-	e, result := startEntryWithSlowUpstream(t, release)
+	e, result := startEntryWithSlowUpstream(t, release, askHTTP11)
 	e.signal(t, syscall.SIGTERM)
 	e.untilLeaving(t)
 	e.signal(t, syscall.SIGTERM)
@@ -113,3 +134,39 @@
 	got := <-result
 	is.True(got.err != nil) // the caller gets an error for the truncated response
 }
+
+// Guards against a response that looks whole to a caller of HTTP/1.0 although the process ended in the middle of it, and against one
+// that is whole and looks cut.
+func TestEndOfTheProcessOverHTTP10(t *testing.T) {
+	for name, end := range map[string]func(e *entry){
+		"SIGKILL": func(e *entry) { e.signal(t, syscall.SIGKILL) },
+		"second SIGTERM": func(e *entry) {
+			e.signal(t, syscall.SIGTERM)
+			e.untilLeaving(t)
+			e.signal(t, syscall.SIGTERM)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			release := make(chan struct{})
+			defer close(release)
+			e, result := startEntryWithSlowUpstream(t, release, askHTTP10)
+			end(e)
+			e.wait(t)
+			got := <-result
+			is.True(got.err != nil)
+		})
+	}
+	t.Run("whole", func(t *testing.T) {
+		is := is.New(t)
+		release := make(chan struct{})
+		e, result := startEntryWithSlowUpstream(t, release, askHTTP10)
+		e.signal(t, syscall.SIGTERM)
+		e.untilLeaving(t)
+		close(release)
+		got := <-result
+		is.NoErr(got.err)
+		is.Equal(got.body, "first half, second half")
+		is.Equal(e.wait(t), 0)
+	})
+}
