--- a/pkg/respcheck/body_test.go
+++ b/pkg/respcheck/body_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/turmericsail/turmericsail/pkg/respcheck"
+	"github.com/turmericsail/turmericsail/pkg/respcheck/respchecktest"
 )
 
 // cuts returns the number of counted responses that were cut short.
@@ -25,28 +26,13 @@
 // serveCut serves a response to one request on each connection and ends the connection after a moment, with a reset if linger is 0.
 func serveCut(t *testing.T, response string, linger int, after time.Duration) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.WriteString(c, response)
-					time.Sleep(after)
-					_ = c.(*net.TCPConn).SetLinger(linger)
-				}
-			}()
+	return respchecktest.ServeConns(t, func(c *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, response)
+			time.Sleep(after)
+			_ = c.SetLinger(linger)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // Guards against a body that was cut short and whose error does not tell so, or that is counted more than once.
--- a/pkg/respcheck/respchecktest/end.go
+++ b/pkg/respcheck/respchecktest/end.go
@@ -44,26 +44,12 @@
 // is and ends the connection.
 func ServeEarly(t testing.TB, response string, end End) *EarlyServer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s := &EarlyServer{Address: l.Addr().String()}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(c.(*net.TCPConn), response, end)
-		}
-	}()
+	s := &EarlyServer{}
+	s.Address = ServeConns(t, func(c *net.TCPConn) { s.serve(c, response, end) })
 	return s
 }
 
 func (s *EarlyServer) serve(c *net.TCPConn, response string, end End) {
-	defer c.Close()
 	in := bufio.NewReaderSize(c, readAhead)
 	if _, err := http.ReadRequest(in); err != nil {
 		return
--- a/pkg/respcheck/respchecktest/server.go
+++ b/pkg/respcheck/respchecktest/server.go
@@ -1,4 +1,4 @@
-// Package respchecktest has a server that sends malformed responses, for the tests of everything that reads responses.
+// Package respchecktest has servers that send broken responses, for the tests of everything that reads responses.
 package respchecktest
 
 import (
@@ -43,12 +43,19 @@
 
 // Serve starts a server on loopback that ends with the test.
 func Serve(t testing.TB, response string) *Server {
+	t.Helper()
+	s := &Server{}
+	s.Address = ServeConns(t, func(c *net.TCPConn) { s.Conns.Add(1); s.serve(c, response) })
+	return s
+}
+
+// ServeConns accepts connections on loopback until the test ends, serves each and closes it, and returns its host:port.
+func ServeConns(t testing.TB, serve func(*net.TCPConn)) (address string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Address: l.Addr().String()}
 	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
@@ -56,15 +63,13 @@
 			if err != nil {
 				return
 			}
-			s.Conns.Add(1)
-			go s.serve(c, response)
+			go func() { defer c.Close(); serve(c.(*net.TCPConn)) }()
 		}
 	}()
-	return s
+	return l.Addr().String()
 }
 
 func (s *Server) serve(c net.Conn, response string) {
-	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
