e2e: end the process once half of the response has arrived over HTTP/1.0

The process could be killed before the header of the response was sent, where the test shows nothing.

--- a/test/e2e/shutdown_test.go
+++ b/test/e2e/shutdown_test.go
@@ -25,6 +25,9 @@
 	err  error
 }
 
+// firstHalf is the first half of a response of the slow upstream.
+const firstHalf = "first half, "
+
 // startEntryWithSlowUpstream starts an entry whose upstream sends the second half of
 // its response only after release is closed. It sends one request with ask and returns when
 // the upstream runs it; the channel delivers the response.
@@ -32,7 +35,7 @@
 	t.Helper()
 	running := make(chan struct{}, 1)
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(w, "first half, ")
+		_, _ = io.WriteString(w, firstHalf)
 		_ = http.NewResponseController(w).Flush()
 		running <- struct{}{}
 		select {
@@ -72,22 +75,42 @@
 	return responseResult{string(body), err}
 }
 
-// askHTTP10 sends a request over HTTP/1.0.
-func askHTTP10(address string) responseResult {
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		return responseResult{"", err}
-	}
-	defer c.Close()
-	if _, err := io.WriteString(c, "GET / HTTP/1.0\r\n\r\n"); err != nil {
-		return responseResult{"", err}
+// askHTTP10 returns a function that sends a request over HTTP/1.0 and closes begun when the first half of the response has arrived.
+func askHTTP10(begun chan<- struct{}) func(address string) responseResult {
+	return func(address string) responseResult {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return responseResult{"", err}
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+			return responseResult{"", err}
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return responseResult{"", err}
+		}
+		start := make([]byte, len(firstHalf))
+		if _, err := io.ReadFull(resp.Body, start); err != nil {
+			return responseResult{"", err}
+		}
+		close(begun)
+		rest, err := io.ReadAll(resp.Body)
+		return responseResult{string(start) + string(rest), err}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return responseResult{"", err}
+}
+
+// startHalfResponseOverHTTP10 returns when a caller of HTTP/1.0 has the first half of the response; see startEntryWithSlowUpstream.
+func startHalfResponseOverHTTP10(t *testing.T, release <-chan struct{}) (*entry, <-chan responseResult) {
+	t.Helper()
+	begun := make(chan struct{})
+	e, result := startEntryWithSlowUpstream(t, release, askHTTP10(begun))
+	select {
+	case <-begun:
+	case got := <-result:
+		t.Fatalf("the request ended before the first half of its response: %+v", got)
 	}
-	body, err := io.ReadAll(resp.Body)
-	return responseResult{string(body), err}
+	return e, result
 }
 
 // untilLeaving waits until the entry has begun its shutdown.
@@ -150,7 +173,7 @@
 			is := is.New(t)
 			release := make(chan struct{})
 			defer close(release)
-			e, result := startEntryWithSlowUpstream(t, release, askHTTP10)
+			e, result := startHalfResponseOverHTTP10(t, release)
 			end(e)
 			e.wait(t)
 			got := <-result
@@ -160,7 +183,7 @@
 	t.Run("whole", func(t *testing.T) {
 		is := is.New(t)
 		release := make(chan struct{})
-		e, result := startEntryWithSlowUpstream(t, release, askHTTP10)
+		e, result := startHalfResponseOverHTTP10(t, release)
 		e.signal(t, syscall.SIGTERM)
 		e.untilLeaving(t)
 		close(release)
