--- a/internal/entry/delimited_test.go
+++ b/internal/entry/delimited_test.go
@@ -153,9 +153,10 @@
 // Guards against a reset of a response that is whole, which could destroy its end on the way to a caller of HTTP/1.0.
 func TestWholeResponseIsNotResetOverHTTP10(t *testing.T) {
 	const plays = 20
+	const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n" // the upstream must not end a connection that may be used again
 	responses := map[string]string{
-		"no length": "HTTP/1.1 200 OK\r\n\r\n" + part, "length": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(part), part),
-		"chunks": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(part), part),
+		"no length": head + "\r\n" + part, "length": fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(part), part),
+		"chunks": fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(part), part),
 	}
 	for secure, served := range withTLS(t) {
 		for name, response := range responses {
